--- /dev/null
+++ b/src/session/authority.c
@@ -0,0 +1,123 @@
+#include "authority.h"
+
+struct TouAuthority
+{
+  TouGroupRecord record;
+  guint64 store_us;
+  GHashTable *nodes; /* TouName to guint64, time of the proof */
+};
+
+int
+tou_authority_create (TouAuthority **out)
+{
+  TouAuthority *authority = g_new0 (TouAuthority, 1);
+
+  authority->nodes = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                            g_free, g_free);
+  *out = authority;
+  return TOU_OK;
+}
+
+void
+tou_authority_destroy (TouAuthority *authority)
+{
+  if (authority == NULL)
+    return;
+  g_hash_table_destroy (authority->nodes);
+  g_free (authority);
+}
+
+gboolean
+tou_authority_adopt (TouAuthority *authority, const TouGroupRecord *record)
+{
+  if (record->revision <= authority->record.revision)
+    return FALSE;
+  authority->record = *record;
+  authority->store_us = 0;
+  g_hash_table_remove_all (authority->nodes);
+  return TRUE;
+}
+
+const TouGroupRecord *
+tou_authority_record (const TouAuthority *authority)
+{
+  return &authority->record;
+}
+
+void
+tou_authority_prove_by_store (TouAuthority *authority, guint64 revision,
+                              guint64 at_us)
+{
+  if (revision == authority->record.revision)
+    authority->store_us = MAX (authority->store_us, at_us);
+}
+
+void
+tou_authority_prove_by_node (TouAuthority *authority, const TouName *node,
+                             guint64 revision, guint64 at_us)
+{
+  guint64 *proved_us;
+
+  if (revision != authority->record.revision)
+    return;
+  proved_us = g_hash_table_lookup (authority->nodes, node);
+  if (proved_us == NULL)
+    {
+      proved_us = g_new0 (guint64, 1);
+      g_hash_table_insert (authority->nodes, g_memdup2 (node, sizeof *node),
+                           proved_us);
+    }
+  *proved_us = MAX (*proved_us, at_us);
+}
+
+static gint
+authority_newest_first (gconstpointer a, gconstpointer b)
+{
+  guint64 left = *(const guint64 *)a;
+  guint64 right = *(const guint64 *)b;
+
+  return left > right ? -1 : left < right;
+}
+
+/* Time at or after which a majority, this node included, had answered. */
+static guint64
+authority_majority_us (const TouAuthority *authority, guint n_nodes)
+{
+  guint needed = n_nodes / 2;
+  GArray *times;
+  GHashTableIter iter;
+  gpointer value;
+  guint64 result = 0;
+
+  /* A node alone has nobody to contradict it. */
+  if (needed == 0 || g_hash_table_size (authority->nodes) < needed)
+    return 0;
+  times = g_array_new (FALSE, FALSE, sizeof (guint64));
+  g_hash_table_iter_init (&iter, authority->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (times, value, 1);
+  g_array_sort (times, authority_newest_first);
+  result = g_array_index (times, guint64, needed - 1);
+  g_array_unref (times);
+  return result;
+}
+
+guint64
+tou_authority_proved_us (const TouAuthority *authority, guint n_nodes)
+{
+  return MAX (authority->store_us, authority_majority_us (authority, n_nodes));
+}
+
+gboolean
+tou_authority_is_valid (const TouAuthority *authority, guint n_nodes,
+                        guint64 now_us)
+{
+  guint64 proved_us;
+
+  if (authority->record.revision == 0 || authority->record.moving)
+    return FALSE;
+  if (now_us < authority->store_us + TOU_AUTHORITY_VALID_US)
+    return TRUE;
+  proved_us = authority_majority_us (authority, n_nodes);
+  return now_us < proved_us + TOU_AUTHORITY_VALID_US;
+}
--- /dev/null
+++ b/src/session/client.c
@@ -0,0 +1,890 @@
+#include "client.h"
+
+#include "dispatch.h"
+#include "stream.h"
+#include "values.h"
+
+#include "wire.h"
+
+#include <string.h>
+
+/* Attempts of one statement: each database of a group of three, and once more
+   after a change of primary. */
+#define CLIENT_MAX_ATTEMPTS 4
+/* A statement that needs the primary is refused at once when none could be
+   used for this long: a change of primary takes about 1.5 s. */
+#define CLIENT_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
+/* Longest request id or reason in a log line, in bytes. */
+#define CLIENT_TEXT_MAX 160
+
+/* Shapes of prepared statements, shared by all sessions and links. */
+static GHashTable *client_shapes;
+
+void
+tou_client_shapes_destroy (void)
+{
+  if (client_shapes != NULL)
+    g_hash_table_destroy (client_shapes);
+  client_shapes = NULL;
+}
+
+static const char *
+client_shape_name (const char *shape, gboolean writes)
+{
+  char *key = g_strconcat (writes ? "W " : "R ", shape, NULL);
+  char *name;
+
+  if (client_shapes == NULL)
+    client_shapes
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  name = g_hash_table_lookup (client_shapes, key);
+  if (name != NULL)
+    {
+      g_free (key);
+      return name;
+    }
+  name = g_strdup_printf ("t%u", g_hash_table_size (client_shapes));
+  g_hash_table_insert (client_shapes, key, name);
+  return name;
+}
+
+static void
+client_prepared_free (gpointer data)
+{
+  TouPrepared *prepared = data;
+
+  g_free (prepared->shape);
+  g_free (prepared->link_name);
+  g_free (prepared);
+}
+
+TouClient *
+tou_client_of_item (TouQueueItem *item)
+{
+  return (TouClient *)((char *)item
+                       - G_STRUCT_OFFSET (TouClient, request.item));
+}
+
+static void
+client_send (TouClient *client, GString *message)
+{
+  if (!client->closing)
+    tou_stream_send ((uv_stream_t *)&client->tcp, message->str, message->len);
+  g_string_free (message, TRUE);
+}
+
+static void client_parse (TouClient *client);
+
+/* The statement is over; the next one may be read. */
+static void
+client_done (TouClient *client)
+{
+  client->busy = FALSE;
+  client->idle_since_us = tou_clock_us ();
+  if (client->request.tried != NULL)
+    g_ptr_array_set_size (client->request.tried, 0);
+}
+
+static void
+client_answer_own (TouClient *client)
+{
+  GString *out = g_string_new (NULL);
+
+  plat_wire_put_complete (out, NULL);
+  plat_wire_put_ready (out, client->state, (TouLogPos){ 0 });
+  client_send (client, out);
+  client_done (client);
+}
+
+/* Answers with an error; in a transaction, the transaction has failed. */
+static void
+client_answer_error (TouClient *client, TouSqlError code, const char *reason)
+{
+  GString *out = g_string_new (NULL);
+
+  plat_wire_put_error (out, code, reason);
+  plat_wire_put_ready (out, client->state, (TouLogPos){ 0 });
+  client_send (client, out);
+  client_done (client);
+}
+
+static void
+client_log (TouClient *client, TouEvlogClass class, const char *event,
+            const char *outcome, const char *reason,
+            const TouEndpoint *endpoint)
+{
+  const TouClientRequest *request = &client->request;
+  const TouGroupRecord *record = NULL;
+  char id[CLIENT_TEXT_MAX];
+  guint64 now_us = tou_clock_us ();
+
+  if (endpoint != NULL)
+    record = tou_authority_record (endpoint->group->authority);
+  tou_evlog (
+      class, event,
+      "\"request\":\"%s\",\"database\":\"%s\",\"rank\":%d,"
+      "\"outcome\":\"%s\",\"reason\":\"%s\",\"endpoint\":\"%s\","
+      "\"ms\":%" G_GUINT64_FORMAT ",\"sent_ms\":%" G_GUINT64_FORMAT
+      ",\"attempts\":%u,\"txn\":%s,\"config\":%" G_GUINT64_FORMAT
+      ",\"term\":%" G_GUINT64_FORMAT ",\"after\":\"%" G_GUINT64_FORMAT
+      ".%" G_GUINT64_FORMAT "\"",
+      tou_evlog_text (id, sizeof id, client->id), client->database.data,
+      (int)client->route.rank, outcome, reason,
+      endpoint != NULL ? endpoint->info.id.data : "",
+      (now_us - request->arrived_us) / TOU_US_PER_MS,
+      request->task.sent_us == 0
+          ? 0
+          : (now_us - request->task.sent_us) / TOU_US_PER_MS,
+      request->attempts, client->state == TOU_SQL_STATE_IDLE ? "false" : "true",
+      client->proxy->routing != NULL ? client->proxy->routing->version : 0,
+      record != NULL ? record->term : 0, request->after.term,
+      request->after.position);
+}
+
+/* Leaves the open transaction without an answer to the caller. */
+static void
+client_drop_link (TouClient *client)
+{
+  TouLink *link = client->link;
+
+  client->link = NULL;
+  if (link != NULL)
+    tou_link_unpin (link);
+}
+
+/* Fails the statement, and with it the open transaction. */
+static void
+client_fail (TouClient *client, TouSqlError code, const char *reason,
+             const TouEndpoint *endpoint)
+{
+  gboolean in_doubt = code == TOU_SQL_E_IN_DOUBT;
+
+  if (in_doubt)
+    TOU_COUNT (client->proxy, IN_DOUBT);
+  else
+    TOU_COUNT (client->proxy, REFUSED);
+  client_log (client, TOU_EVLOG_FAILURE, "failed", plat_wire_error_name (code),
+              reason, endpoint);
+  client_drop_link (client);
+  if (client->state == TOU_SQL_STATE_OPEN)
+    client->state = TOU_SQL_STATE_FAILED;
+  client_answer_error (client, code, reason);
+}
+
+void
+tou_client_refuse (TouClient *client, TouSqlError code, const char *reason)
+{
+  client_fail (client, code, reason, NULL);
+  client_parse (client);
+}
+
+void
+tou_client_link_lost (TouClient *client)
+{
+  client->link = NULL;
+  client->txn_lost = TRUE;
+}
+
+/* Sets the position that a replica must hold. @return FALSE if only the
+   primary will do */
+static gboolean
+client_replica_condition (TouClient *client, TouGroup *group)
+{
+  TouClientRequest *request = &client->request;
+  const TouRoute *route = &client->route;
+  guint64 since_us
+      = request->arrived_us - MIN (route->max_age_us, request->arrived_us);
+
+  memset (&request->after, 0, sizeof request->after);
+  if (route->mode == TOU_READ_FRESH || request->writes)
+    return FALSE;
+  if (route->max_age_us > 0
+      && !tou_freshness_required (group->freshness, since_us, &request->after))
+    return FALSE;
+  if (route->mode == TOU_READ_SESSION
+      && tou_name_equal (&client->seen_group, &group->name)
+      && tou_log_pos_compare (client->seen, request->after) > 0)
+    request->after = client->seen;
+  return TRUE;
+}
+
+/* Puts the statement into the queue of those databases that can run it. */
+static void
+client_queue (TouClient *client)
+{
+  TouGroup *group = tou_group_get (client->proxy, &client->route.group);
+  TouClientRequest *request = &client->request;
+  guint64 now_us = tou_clock_us ();
+  guint64 retry_us = 0;
+  char reason[CLIENT_TEXT_MAX];
+  int status;
+
+  if (!request->needs_primary && !client_replica_condition (client, group))
+    request->needs_primary = TRUE;
+  if (request->needs_primary && group->no_primary_us != 0
+      && now_us >= group->no_primary_us + CLIENT_NO_PRIMARY_US)
+    {
+      client_fail (client, TOU_SQL_E_BUSY, "no primary; retry after 1000 ms",
+                   NULL);
+      return;
+    }
+  memset (&request->item, 0, sizeof request->item);
+  request->item.rank = client->route.rank;
+  request->item.deadline_us = request->deadline_us;
+  status
+      = tou_queue_push (request->needs_primary ? group->writes : group->reads,
+                        &request->item, now_us, &retry_us);
+  if (status == TOU_OK)
+    return;
+  g_snprintf (reason, sizeof reason, "%s; retry after %" G_GUINT64_FORMAT " ms",
+              tou_status_text (status), retry_us / TOU_US_PER_MS);
+  client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
+}
+
+void
+tou_client_requeue (TouClient *client)
+{
+  client_queue (client);
+  if (!client->busy)
+    client_parse (client);
+}
+
+/* Another attempt of a statement that has not run or may run twice. */
+static gboolean
+client_retry (TouClient *client, TouEndpoint *endpoint)
+{
+  TouClientRequest *request = &client->request;
+  guint64 now_us = tou_clock_us ();
+
+  if (request->attempts >= CLIENT_MAX_ATTEMPTS
+      || now_us >= request->deadline_us)
+    return FALSE;
+  if (request->tried == NULL)
+    request->tried = g_ptr_array_new ();
+  g_ptr_array_add (request->tried, endpoint);
+  TOU_COUNT (client->proxy, RETRIED);
+  client_queue (client);
+  return TRUE;
+}
+
+static void
+client_served (TouClient *client, TouEndpoint *endpoint,
+               const TouTaskResult *result, gboolean commit)
+{
+  TouClientRequest *request = &client->request;
+  GString *out = g_string_sized_new (result->lines->len + 32);
+  guint64 ms = (tou_clock_us () - request->arrived_us) / TOU_US_PER_MS;
+  guint bucket = 0;
+
+  while (bucket + 1 < TOU_LATENCY_BUCKETS && ms >> bucket != 0)
+    bucket++;
+  client->proxy->latency[client->route.rank][bucket]++;
+  TOU_COUNT (client->proxy, SERVED);
+  if ((commit && client->wrote) || (!commit && request->task.may_commit))
+    {
+      client->seen_group = endpoint->group->name;
+      client->seen = result->pos;
+    }
+  if (commit)
+    {
+      client->state = TOU_SQL_STATE_IDLE;
+      client_drop_link (client);
+    }
+  else if (client->state == TOU_SQL_STATE_OPEN
+           && result->state != TOU_SQL_STATE_OPEN)
+    {
+      client->state = TOU_SQL_STATE_FAILED;
+      client_drop_link (client);
+    }
+  client_log (client, TOU_EVLOG_REQUEST, "served", "done", "", endpoint);
+  g_string_append_len (out, result->lines->str, (gssize)result->lines->len);
+  plat_wire_put_ready (out, client->state, result->pos);
+  client_send (client, out);
+  client_done (client);
+}
+
+/* A database's answer to a commit counts only while it is the primary. */
+static gboolean
+client_is_acknowledged (const TouClientRequest *request,
+                        const TouEndpoint *endpoint)
+{
+  return !request->task.may_commit
+         || tou_group_may_write (endpoint->group, endpoint, tou_clock_us ());
+}
+
+/* The database answered with an error. */
+static void
+client_on_error (TouClient *client, TouEndpoint *endpoint,
+                 const TouTaskResult *result, gboolean commit)
+{
+  TouClientRequest *request = &client->request;
+  gboolean not_run = result->error == TOU_SQL_E_BUSY
+                     || result->error == TOU_SQL_E_LAGGING
+                     || result->error == TOU_SQL_E_READ_ONLY
+                     || result->error == TOU_SQL_E_UNKNOWN_STATEMENT;
+
+  if (result->error == TOU_SQL_E_LAGGING)
+    tou_dispatch_lacked (endpoint, request->after, tou_clock_us ());
+  /* Outside a transaction nothing else depends on where it runs. */
+  if (client->state == TOU_SQL_STATE_IDLE
+      && (not_run || !request->task.may_commit)
+      && client_retry (client, endpoint))
+    return;
+  if (commit)
+    client->state = TOU_SQL_STATE_IDLE;
+  client_fail (client,
+               result->error == TOU_SQL_E_UNKNOWN_STATEMENT ? TOU_SQL_E_BUSY
+                                                            : result->error,
+               "refused by the database", endpoint);
+}
+
+/* The statement was sent and not answered. */
+static void
+client_on_lost (TouClient *client, TouEndpoint *endpoint, gboolean commit)
+{
+  TouClientRequest *request = &client->request;
+  TouSqlError code = TOU_SQL_E_ABORTED;
+
+  if (request->task.may_commit && (!commit || client->wrote))
+    code = TOU_SQL_E_IN_DOUBT;
+  else if (client->state == TOU_SQL_STATE_IDLE
+           && client_retry (client, endpoint))
+    return;
+  if (commit)
+    client->state = TOU_SQL_STATE_IDLE;
+  client_fail (client, code, "connection to the database was lost", endpoint);
+}
+
+static void
+client_on_not_run (TouClient *client, TouEndpoint *endpoint,
+                   const TouTaskResult *result)
+{
+  TouClientRequest *request = &client->request;
+  gboolean first = client->state != TOU_SQL_STATE_OPEN || request->task.begin;
+
+  if (result->error == TOU_SQL_E_LAGGING)
+    tou_dispatch_lacked (endpoint, request->after, tou_clock_us ());
+  if (first)
+    {
+      client_drop_link (client);
+      if (client_retry (client, endpoint))
+        return;
+    }
+  client_fail (client, first ? TOU_SQL_E_BUSY : TOU_SQL_E_ABORTED,
+               "the database did not take the statement", endpoint);
+}
+
+static void
+endpoint_measure (TouEndpoint *endpoint, guint64 taken_us)
+{
+  /* A new measurement counts for an eighth. */
+  endpoint->latency_us
+      = endpoint->latency_us == 0
+            ? taken_us
+            : endpoint->latency_us - endpoint->latency_us / 8 + taken_us / 8;
+}
+
+static void
+client_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
+{
+  TouClient *client
+      = (TouClient *)((char *)task - G_STRUCT_OFFSET (TouClient, request.task));
+  TouEndpoint *endpoint = task->owner;
+  TouGroup *group = endpoint->group;
+  TouClientRequest *request = &client->request;
+  gboolean commit = request->commit;
+  guint64 now_us = tou_clock_us ();
+
+  if (link == NULL)
+    client->link = NULL;
+  if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
+    {
+      endpoint_measure (endpoint, now_us - task->sent_us);
+      tou_queue_measure (request->needs_primary ? group->writes : group->reads,
+                         client->route.rank, now_us - task->sent_us);
+      if (result->pos.term != 0)
+        tou_group_sample (group, endpoint, task->sent_us, result->pos);
+    }
+  switch (result->outcome)
+    {
+    case TOU_TASK_ANSWERED:
+      if (!result->complete)
+        client_on_error (client, endpoint, result, commit);
+      else if (client_is_acknowledged (request, endpoint)
+               || (commit && !client->wrote))
+        client_served (client, endpoint, result, commit);
+      else
+        {
+          if (commit)
+            client->state = TOU_SQL_STATE_IDLE;
+          client_fail (client, TOU_SQL_E_IN_DOUBT,
+                       "primary changed during the statement", endpoint);
+        }
+      break;
+    case TOU_TASK_NOT_RUN:
+      client_on_not_run (client, endpoint, result);
+      break;
+    case TOU_TASK_LOST:
+      client_on_lost (client, endpoint, commit);
+      break;
+    }
+  if (client->gone)
+    tou_client_close (client);
+  else if (!client->busy)
+    client_parse (client);
+  tou_dispatch_group (group);
+}
+
+void
+tou_client_run (TouClient *client, TouLink *link)
+{
+  TouClientRequest *request = &client->request;
+  TouEndpoint *endpoint = tou_link_endpoint (link);
+  gboolean in_txn = client->state == TOU_SQL_STATE_OPEN;
+
+  request->attempts++;
+  request->task.owner = endpoint;
+  request->task.begin = in_txn && client->link == NULL;
+  request->task.begin_read_only = client->read_only;
+  request->task.after
+      = request->needs_primary ? (TouLogPos){ 0 } : request->after;
+  request->task.values = &client->values;
+  request->task.deadline_us = request->deadline_us;
+  if (endpoint == tou_group_recorded_primary (endpoint->group))
+    TOU_COUNT (client->proxy, PRIMARY);
+  else
+    TOU_COUNT (client->proxy, REPLICA);
+  if (in_txn && client->link == NULL)
+    {
+      client->link = link;
+      tou_link_pin (link, client);
+    }
+  tou_link_run (link, &request->task);
+}
+
+/* Takes over the route in force; a transaction keeps the one it began with. */
+static gboolean
+client_take_route (TouClient *client)
+{
+  const TouRouting *routing = client->proxy->routing;
+  const TouRoute *route
+      = routing != NULL
+            ? g_hash_table_lookup (routing->routes, &client->database)
+            : NULL;
+
+  if (route == NULL)
+    return FALSE;
+  client->route = *route;
+  return TRUE;
+}
+
+/* Runs the next statement of a transaction that has its link. */
+static void
+client_continue_txn (TouClient *client)
+{
+  TouEndpoint *endpoint = tou_link_endpoint (client->link);
+
+  if (client->read_only
+      || tou_group_may_write (endpoint->group, endpoint, tou_clock_us ()))
+    {
+      tou_client_run (client, client->link);
+      return;
+    }
+  if (client->request.commit)
+    client->state = TOU_SQL_STATE_IDLE;
+  client_fail (client, TOU_SQL_E_ABORTED, "the primary is being changed",
+               endpoint);
+}
+
+/* Forwards a read, write, execution or commit. */
+static void
+client_forward (TouClient *client, const TouSqlStatement *statement,
+                const TouPrepared *prepared)
+{
+  TouClientRequest *request = &client->request;
+  gboolean in_txn = client->state == TOU_SQL_STATE_OPEN;
+
+  if (client->link == NULL && !client_take_route (client))
+    {
+      client_fail (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database",
+                   NULL);
+      return;
+    }
+  request->attempts = 0;
+  request->arrived_us = tou_clock_us ();
+  request->deadline_us = request->arrived_us + client->route.timeout_us;
+  request->commit = statement->kind == TOU_SQL_COMMIT;
+  request->writes = statement->kind == TOU_SQL_WRITE
+                    || (prepared != NULL && prepared->writes);
+  if (request->writes && in_txn)
+    client->wrote = TRUE;
+  memset (&request->task, 0, sizeof request->task);
+  request->task.done = client_on_result;
+  request->task.id = &client->id;
+  request->task.text.data = client->id.data + client->id.len + 1;
+  request->task.text.len = client->text->len - client->id.len - 1;
+  request->task.prepared = prepared;
+  if (prepared != NULL)
+    request->task.arguments = statement->as.execute.arguments;
+  request->task.may_commit = request->commit || (request->writes && !in_txn);
+  request->needs_primary = request->writes || (in_txn && !client->read_only);
+  if (client->link != NULL)
+    {
+      client_continue_txn (client);
+      return;
+    }
+  client_queue (client);
+  if (client->busy)
+    tou_dispatch_group (tou_group_get (client->proxy, &client->route.group));
+}
+
+static void
+client_prepare (TouClient *client, const TouSqlStatement *statement)
+{
+  TouPrepared *prepared = g_new0 (TouPrepared, 1);
+
+  prepared->shape = g_strndup (statement->as.prepare.shape.data,
+                               statement->as.prepare.shape.len);
+  prepared->writes = statement->as.prepare.writes;
+  prepared->link_name
+      = g_strdup (client_shape_name (prepared->shape, prepared->writes));
+  g_hash_table_replace (client->prepared,
+                        g_strndup (statement->as.prepare.name.data,
+                                   statement->as.prepare.name.len),
+                        prepared);
+  client_answer_own (client);
+}
+
+static void
+client_execute (TouClient *client, const TouSqlStatement *statement)
+{
+  char *name = g_strndup (statement->as.execute.name.data,
+                          statement->as.execute.name.len);
+  const TouPrepared *prepared = g_hash_table_lookup (client->prepared, name);
+
+  g_free (name);
+  if (prepared != NULL)
+    client_forward (client, statement, prepared);
+  else
+    client_fail (client, TOU_SQL_E_UNKNOWN_STATEMENT,
+                 "no prepared statement has that name", NULL);
+}
+
+static void
+client_begin (TouClient *client, const TouSqlStatement *statement)
+{
+  client->state = TOU_SQL_STATE_OPEN;
+  client->read_only = statement->as.begin.read_only;
+  client->wrote = FALSE;
+  client->txn_lost = FALSE;
+  client_answer_own (client);
+}
+
+/* Ends a transaction that has failed, or rolls an open one back. */
+static void
+client_rollback (TouClient *client)
+{
+  client_drop_link (client);
+  client->state = TOU_SQL_STATE_IDLE;
+  client_answer_own (client);
+}
+
+static void
+client_deallocate (TouClient *client, const TouSqlStatement *statement)
+{
+  char *name = g_strndup (statement->as.deallocate.name.data,
+                          statement->as.deallocate.name.len);
+
+  g_hash_table_remove (client->prepared, name);
+  g_free (name);
+  client_answer_own (client);
+}
+
+/* In a failed transaction only its end is legal. */
+static void
+client_in_failed_txn (TouClient *client, const TouSqlStatement *statement)
+{
+  if (statement->kind == TOU_SQL_ROLLBACK)
+    client_rollback (client);
+  else if (statement->kind == TOU_SQL_COMMIT)
+    {
+      client->state = TOU_SQL_STATE_IDLE;
+      client_fail (client, TOU_SQL_E_ABORTED, "the transaction had failed",
+                   NULL);
+    }
+  else
+    client_answer_error (client, TOU_SQL_E_MALFORMED,
+                         "the transaction has failed; roll it back");
+}
+
+static void
+client_statement (TouClient *client, const TouSqlStatement *statement)
+{
+  gboolean open = client->state == TOU_SQL_STATE_OPEN;
+
+  if (open && client->txn_lost && statement->kind != TOU_SQL_ROLLBACK)
+    {
+      if (statement->kind == TOU_SQL_COMMIT)
+        client->state = TOU_SQL_STATE_IDLE;
+      client_fail (client, TOU_SQL_E_ABORTED,
+                   "the transaction's connection was lost", NULL);
+      return;
+    }
+  switch (statement->kind)
+    {
+    case TOU_SQL_BEGIN:
+      if (!open)
+        {
+          client_begin (client, statement);
+          return;
+        }
+      break;
+    case TOU_SQL_ROLLBACK:
+      if (open)
+        {
+          client_rollback (client);
+          return;
+        }
+      break;
+    case TOU_SQL_COMMIT:
+      if (open)
+        {
+          client_forward (client, statement, NULL);
+          return;
+        }
+      break;
+    case TOU_SQL_READ:
+    case TOU_SQL_WRITE:
+      client_forward (client, statement, NULL);
+      return;
+    case TOU_SQL_EXECUTE:
+      client_execute (client, statement);
+      return;
+    case TOU_SQL_SET:
+      tou_values_set (&client->values, statement->as.set.name,
+                      statement->as.set.value);
+      client_answer_own (client);
+      return;
+    case TOU_SQL_PREPARE:
+      client_prepare (client, statement);
+      return;
+    case TOU_SQL_DEALLOCATE:
+      client_deallocate (client, statement);
+      return;
+    case TOU_SQL_INVALID:
+      break;
+    }
+  TOU_COUNT (client->proxy, MALFORMED);
+  client_answer_error (client, TOU_SQL_E_MALFORMED,
+                       "statement is not legal here");
+}
+
+static void
+client_on_query (TouClient *client, const TouSqlCallerMessage *message)
+{
+  TouSqlStatement statement;
+
+  client->busy = TRUE;
+  TOU_COUNT (client->proxy, STATEMENTS);
+  g_string_truncate (client->text, 0);
+  g_string_append_len (client->text, message->id.data, (gssize)message->id.len);
+  g_string_append_c (client->text, ' ');
+  g_string_append_len (client->text, message->text.data,
+                       (gssize)message->text.len);
+  client->id.data = client->text->str;
+  client->id.len = message->id.len;
+  plat_wire_statement (
+      &statement,
+      (TouSlice){ client->text->str + message->id.len + 1, message->text.len });
+  if (client->state == TOU_SQL_STATE_FAILED)
+    client_in_failed_txn (client, &statement);
+  else
+    client_statement (client, &statement);
+}
+
+/* Sends an error and ends the session. */
+static void
+client_reject (TouClient *client, TouSqlError code, const char *reason)
+{
+  GString *out = g_string_new (NULL);
+
+  plat_wire_put_error (out, code, reason);
+  client_send (client, out);
+  tou_client_close (client);
+}
+
+static void
+client_on_startup (TouClient *client, const TouSqlCallerMessage *message)
+{
+  GString *out;
+
+  if (client->proxy->routing == NULL)
+    client_reject (client, TOU_SQL_E_BUSY, "no configuration yet");
+  else if (tou_name_set (&client->database, message->database.data,
+                         message->database.len)
+               != TOU_OK
+           || !client_take_route (client))
+    client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
+  else
+    {
+      client->started = TRUE;
+      out = g_string_new (NULL);
+      plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
+      client_send (client, out);
+    }
+}
+
+static void
+client_on_message (TouClient *client, TouSlice line)
+{
+  TouSqlCallerMessage message;
+
+  plat_wire_caller_message (&message, line);
+  if (message.kind == TOU_SQL_CALLER_STARTUP && !client->started)
+    client_on_startup (client, &message);
+  else if (message.kind == TOU_SQL_CALLER_QUERY && client->started)
+    client_on_query (client, &message);
+  else if (message.kind == TOU_SQL_CALLER_TERMINATE)
+    tou_client_close (client);
+  else
+    {
+      TOU_COUNT (client->proxy, MALFORMED);
+      client_reject (client, TOU_SQL_E_MALFORMED, "message is not legal here");
+    }
+}
+
+/* Handles the messages that have arrived, one statement at a time. */
+static void
+client_parse (TouClient *client)
+{
+  gsize used = 0;
+  gsize len;
+  TouSlice line;
+
+  if (client->parsing)
+    return;
+  client->parsing = TRUE;
+  while (!client->closing && !client->busy
+         && (len = plat_wire_line (&line, client->in->str + used,
+                                   client->in->len - used))
+                > 0)
+    {
+      used += len;
+      client_on_message (client, line);
+    }
+  g_string_erase (client->in, 0, (gssize)used);
+  client->parsing = FALSE;
+  if (!client->closing && client->in->len > PLAT_WIRE_MAX_MESSAGE)
+    client_reject (client, TOU_SQL_E_TOO_LARGE, "message is too long");
+}
+
+static void
+client_on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  TouClient *client = stream->data;
+
+  if (n < 0)
+    {
+      tou_client_close (client);
+      return;
+    }
+  g_string_append_len (client->in, buf->base, n);
+  client_parse (client);
+}
+
+static void
+client_free (TouClient *client)
+{
+  if (client->request.tried != NULL)
+    g_ptr_array_unref (client->request.tried);
+  tou_values_clear (&client->values);
+  g_hash_table_destroy (client->prepared);
+  g_string_free (client->in, TRUE);
+  g_string_free (client->text, TRUE);
+  g_free (client);
+}
+
+static void
+client_on_closed (uv_handle_t *handle)
+{
+  client_free (handle->data);
+}
+
+/* A running statement ends first: its result frees the client. */
+static gboolean
+client_is_running (const TouClient *client)
+{
+  return client->busy && !client->request.item.queued;
+}
+
+void
+tou_client_close (TouClient *client)
+{
+  TouGroup *group;
+
+  if (client->closing)
+    return;
+  client->gone = TRUE;
+  uv_read_stop ((uv_stream_t *)&client->tcp);
+  if (client_is_running (client))
+    return;
+  client->closing = TRUE;
+  if (client->busy)
+    {
+      group = tou_group_get (client->proxy, &client->route.group);
+      tou_queue_remove (client->request.needs_primary ? group->writes
+                                                      : group->reads,
+                        &client->request.item);
+    }
+  client_drop_link (client);
+  g_queue_unlink (&client->proxy->clients, &client->node);
+  uv_close ((uv_handle_t *)&client->tcp, client_on_closed);
+}
+
+void
+tou_client_accept (TouProxy *proxy, uv_stream_t *server)
+{
+  TouClient *client = g_new0 (TouClient, 1);
+
+  client->proxy = proxy;
+  client->in = g_string_new (NULL);
+  client->text = g_string_new (NULL);
+  client->idle_since_us = tou_clock_us ();
+  client->node.data = client;
+  client->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            client_prepared_free);
+  tou_values_init (&client->values);
+  uv_tcp_init (proxy->loop, &client->tcp);
+  client->tcp.data = client;
+  g_queue_push_tail_link (&proxy->clients, &client->node);
+  TOU_COUNT (proxy, SESSIONS);
+  if (uv_accept (server, (uv_stream_t *)&client->tcp) != 0)
+    {
+      tou_client_close (client);
+      return;
+    }
+  tou_stream_tune (&client->tcp);
+  uv_read_start ((uv_stream_t *)&client->tcp, tou_stream_alloc, client_on_read);
+}
+
+void
+tou_client_tick (TouClient *client, guint64 now_us)
+{
+  const TouProxy *proxy = client->proxy;
+  guint64 idle_us
+      = proxy->routing != NULL ? proxy->routing->txn_idle_us : G_MAXUINT64;
+
+  if (client->busy || client->closing)
+    return;
+  if (client->link != NULL
+      && (now_us - client->idle_since_us >= idle_us
+          || (proxy->draining && now_us >= proxy->end_txns_us)))
+    {
+      client_drop_link (client);
+      client->txn_lost = TRUE;
+    }
+  /* A session at rest loses nothing when it is closed. */
+  if (proxy->draining && now_us >= proxy->close_idle_us && client->link == NULL
+      && client->in->len == 0)
+    tou_client_close (client);
+}
--- /dev/null
+++ b/src/session/control.c
@@ -0,0 +1,1001 @@
+#include "control.h"
+
+#include "handover.h"
+
+#include "document.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+#define CONTROL_PREFIX "tou/"
+#define CONTROL_LEADER_KEY "tou/leader"
+#define CONTROL_NODE_PREFIX "tou/node/"
+#define CONTROL_GROUP_PREFIX "tou/group/"
+
+/* A watch returns after this time without changes; the next one notices a
+   silent connection. A configuration must be in force 3 s after it is
+   acknowledged. */
+#define CONTROL_WATCH_US (1500 * TOU_US_PER_MS)
+/* Pause after a call that failed; outages last seconds. */
+#define CONTROL_RETRY_US (250 * TOU_US_PER_MS)
+/* The duty's lease, and how often it is renewed: two renewals may be lost. */
+#define CONTROL_LEASE_US (2400 * TOU_US_PER_MS)
+#define CONTROL_RENEW_US (700 * TOU_US_PER_MS)
+/* A holder stops this long before its lease ends. */
+#define CONTROL_LEASE_MARGIN_US (300 * TOU_US_PER_MS)
+/* A new holder waits until an order of the one before has arrived. */
+#define CONTROL_TAKEOVER_US (400 * TOU_US_PER_MS)
+/* Nodes try to get the duty one after the other, spread over this time. */
+#define CONTROL_SPREAD_MS 150
+/* The store is asked for the records when other nodes have not proved them for
+   this long; half the validity leaves time for a second try. */
+#define CONTROL_PROVE_US (TOU_AUTHORITY_VALID_US / 2)
+/* A node that nobody of the majority hears for this long has used up every
+   proof several times over, and is removed from the registry. */
+#define CONTROL_SILENT_NODE_US (6 * TOU_US_PER_S)
+/* Interval of status questions while a change is under way. */
+#define CONTROL_STATUS_US (50 * TOU_US_PER_MS)
+/* A former primary is told to step down this often. */
+#define CONTROL_STEP_DOWN_US (300 * TOU_US_PER_MS)
+/* A registry entry that says replica is believed of a recorded primary only
+   after this time: the entry follows a promotion with a delay. */
+#define CONTROL_ROLE_US (3 * TOU_US_PER_S)
+/* Entries lapse while the store is away and are back within two seconds. */
+#define CONTROL_MISSING_US (2500 * TOU_US_PER_MS)
+
+typedef struct
+{
+  TouControl *control;
+  TouGroup *group;
+  TouHandover *handover;
+  guint64 asked_us;
+  guint64 stepped_us;
+  guint64 adopted_us; /* when the record in force was first seen */
+  guint64 adopted_revision;
+} ControlGroup;
+
+struct TouControl
+{
+  TouProxy *proxy;
+  PlatStore *store;
+  TouPeers *peers;
+  GHashTable *groups; /* TouName to ControlGroup */
+
+  gboolean connected;
+  gboolean listing;
+  gboolean watching;
+  gboolean must_list;
+  guint64 retry_us;
+  guint64 revision;      /* events up to it are applied */
+  guint64 list_revision; /* store's revision at the list's first page */
+  GHashTable *listed;    /* keys of the list so far */
+
+  gboolean registering;
+  gboolean registered;
+  guint64 register_us;
+
+  gboolean proving;
+  guint64 proved_us;
+
+  gboolean leader_known;  /* somebody holds the duty */
+  guint64 leader_free_us; /* since when nobody does */
+  gboolean electing;
+  guint64 elect_us; /* no attempt before */
+  guint64 lease;
+  gboolean leading;
+  guint64 token; /* revision of the leader key */
+  guint64 lead_since_us;
+  guint64 lease_until_us;
+  guint64 renew_us;
+  gboolean renewing;
+  gboolean removing;
+};
+
+char *
+tou_record_encode (const TouGroupRecord *record)
+{
+  json_t *root
+      = json_pack ("{s:I,s:s,s:b,s:s}", "term", (json_int_t)record->term,
+                   "primary", record->primary.data, "moving", record->moving,
+                   "candidate", record->candidate.data);
+  char *text = json_dumps (root, JSON_COMPACT);
+
+  json_decref (root);
+  return text;
+}
+
+int
+tou_record_decode (TouGroupRecord *out, const TouStr *value)
+{
+  json_t *root = json_loadb (value->data, value->len, 0, NULL);
+  const char *primary;
+  const char *candidate;
+  json_int_t term;
+  int moving;
+  int status = TOU_OK;
+
+  memset (out, 0, sizeof *out);
+  if (json_unpack (root, "{s:I,s:s,s:b,s:s}", "term", &term, "primary",
+                   &primary, "moving", &moving, "candidate", &candidate)
+          != 0
+      || term < 0 || tou_name_set_c (&out->primary, primary) != TOU_OK
+      || tou_name_set_c (&out->candidate, candidate) != TOU_OK)
+    status
+        = tou_status_set (TOU_E_INVALID_JSON, "group record is not readable");
+  else
+    {
+      out->term = (guint64)term;
+      out->moving = moving;
+    }
+  json_decref (root);
+  return status;
+}
+
+/* Counts a call and notes whether the store answers. */
+static void
+control_heard (TouControl *control, PlatStoreResult result, const char *call)
+{
+  gboolean answered
+      = result != PLAT_STORE_REFUSED && result != PLAT_STORE_UNKNOWN;
+
+  TOU_COUNT (control->proxy, STORE_CALLS);
+  if (!answered)
+    TOU_COUNT (control->proxy, STORE_FAILED);
+  if (answered == control->connected)
+    return;
+  control->connected = answered;
+  tou_evlog (
+      TOU_EVLOG_STATE, answered ? "store_regained" : "store_lost",
+      "\"call\":\"%s\",\"answer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT, call,
+      result == PLAT_STORE_REFUSED ? "refused" : "none", control->revision);
+}
+
+static void
+control_endpoint_missing (TouEndpoint *endpoint, guint64 now_us)
+{
+  if (endpoint->missing_since_us != 0)
+    return;
+  endpoint->missing_since_us = now_us;
+  if (endpoint->leaving_since_us == 0)
+    endpoint->leaving_since_us = now_us;
+  tou_evlog (TOU_EVLOG_STATE, "endpoint_missing",
+             "\"endpoint\":\"%s\",\"group\":\"%s\"", endpoint->info.id.data,
+             endpoint->group->name.data);
+}
+
+static void
+control_on_endpoint (TouControl *control, const PlatStoreItem *item)
+{
+  const char *id = item->key + strlen (PLAT_PREFIX_ENDPOINTS);
+  TouName name = tou_name (id);
+  TouEndpoint *endpoint
+      = g_hash_table_lookup (control->proxy->endpoints, &name);
+  TouEndpointInfo info;
+
+  if (item->deleted)
+    {
+      if (endpoint != NULL)
+        control_endpoint_missing (endpoint, tou_clock_us ());
+      return;
+    }
+  if (plat_document_endpoint (&info, id, &item->value) != TOU_OK)
+    {
+      TOU_COUNT (control->proxy, MALFORMED);
+      tou_evlog (TOU_EVLOG_STATE, "endpoint_unreadable",
+                 "\"revision\":%" G_GUINT64_FORMAT ",\"bytes\":%zu",
+                 item->revision, item->value.len);
+      return;
+    }
+  if (endpoint == NULL || !tou_name_equal (&endpoint->info.group, &info.group)
+      || endpoint->info.draining != info.draining
+      || endpoint->info.role != info.role || endpoint->gone)
+    tou_evlog (
+        TOU_EVLOG_STATE, "endpoint",
+        "\"endpoint\":\"%s\",\"group\":\"%s\",\"address\":\"%s\","
+        "\"role\":\"%s\",\"draining\":%s,\"revision\":%" G_GUINT64_FORMAT,
+        info.id.data, info.group.data, info.address.data,
+        info.role == TOU_ROLE_PRIMARY ? "primary" : "replica",
+        info.draining ? "true" : "false", item->revision);
+  if (endpoint != NULL && !tou_name_equal (&endpoint->info.group, &info.group))
+    {
+      g_hash_table_remove (control->proxy->endpoints, &endpoint->info.id);
+      tou_endpoint_destroy (endpoint);
+      endpoint = NULL;
+    }
+  if (endpoint != NULL)
+    {
+      tou_endpoint_update (endpoint, &info);
+      return;
+    }
+  endpoint = tou_endpoint_create (control->proxy, &info);
+  g_hash_table_insert (control->proxy->endpoints, &endpoint->info.id, endpoint);
+}
+
+static void
+control_on_config (TouControl *control, const PlatStoreItem *item)
+{
+  TouRouting *routing;
+
+  if (item->deleted)
+    return;
+  if (plat_document_routing (&routing, &item->value) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_STATE, "config_unreadable",
+                 "\"revision\":%" G_GUINT64_FORMAT ",\"error\":\"%s\"",
+                 item->revision, tou_status_message ());
+      return;
+    }
+  tou_proxy_set_routing (control->proxy, routing);
+}
+
+static void
+control_on_node (TouControl *control, const PlatStoreItem *item)
+{
+  TouName node = tou_name (item->key + strlen (CONTROL_NODE_PREFIX));
+  TouName address;
+
+  if (item->deleted)
+    {
+      /* Removed by a node that did not hear this one. */
+      if (tou_name_equal (&node, &control->proxy->site.node))
+        control->registered = FALSE;
+      tou_peers_remove (control->peers, &node);
+    }
+  else if (tou_name_set (&address, item->value.data, item->value.len) == TOU_OK)
+    tou_peers_set (control->peers, &node, &address);
+}
+
+static void
+control_on_group (TouControl *control, const PlatStoreItem *item)
+{
+  TouName name = tou_name (item->key + strlen (CONTROL_GROUP_PREFIX));
+  TouGroupRecord record;
+
+  if (item->deleted)
+    return;
+  if (tou_record_decode (&record, &item->value) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_STATE, "record_unreadable", "\"group\":\"%s\"",
+                 name.data);
+      return;
+    }
+  record.revision = item->revision;
+  tou_group_adopt (tou_group_get (control->proxy, &name), &record, "store");
+}
+
+static void
+control_on_leader (TouControl *control, const PlatStoreItem *item)
+{
+  control->leader_known = !item->deleted;
+  if (item->deleted)
+    control->leader_free_us = tou_clock_us ();
+  if (control->leading && (item->deleted || item->created > control->token))
+    {
+      control->leading = FALSE;
+      tou_evlog (TOU_EVLOG_STATE, "duty_lost",
+                 "\"token\":%" G_GUINT64_FORMAT
+                 ",\"reason\":\"key taken away\"",
+                 control->token);
+    }
+}
+
+static void
+control_apply (TouControl *control, const PlatStoreItem *item)
+{
+  if (strcmp (item->key, PLAT_KEY_CONFIG) == 0)
+    control_on_config (control, item);
+  else if (g_str_has_prefix (item->key, PLAT_PREFIX_ENDPOINTS))
+    control_on_endpoint (control, item);
+  else if (g_str_has_prefix (item->key, CONTROL_NODE_PREFIX))
+    control_on_node (control, item);
+  else if (g_str_has_prefix (item->key, CONTROL_GROUP_PREFIX))
+    control_on_group (control, item);
+  else if (strcmp (item->key, CONTROL_LEADER_KEY) == 0)
+    control_on_leader (control, item);
+}
+
+/* Withdraws what the complete list lacks. */
+static void
+control_list_complete (TouControl *control)
+{
+  GHashTable *nodes = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                             g_free, NULL);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+  guint64 now_us = tou_clock_us ();
+
+  g_hash_table_iter_init (&iter, control->proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouEndpoint *endpoint = value;
+      char *entry
+          = g_strconcat (PLAT_PREFIX_ENDPOINTS, endpoint->info.id.data, NULL);
+
+      if (!g_hash_table_contains (control->listed, entry))
+        control_endpoint_missing (endpoint, now_us);
+      g_free (entry);
+    }
+  g_hash_table_iter_init (&iter, control->listed);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (g_str_has_prefix (key, CONTROL_NODE_PREFIX))
+      {
+        TouName name = tou_name ((char *)key + strlen (CONTROL_NODE_PREFIX));
+
+        g_hash_table_add (nodes, g_memdup2 (&name, sizeof name));
+      }
+  tou_peers_retain (control->peers, nodes);
+  control->registered
+      = control->registered
+        && g_hash_table_contains (nodes, &control->proxy->site.node);
+  if (!g_hash_table_contains (control->listed, CONTROL_LEADER_KEY))
+    {
+      control->leader_known = FALSE;
+      control->leader_free_us = now_us;
+    }
+  g_hash_table_destroy (nodes);
+  control->revision = control->list_revision;
+  control->listing = FALSE;
+  control->must_list = FALSE;
+  if (!control->proxy->synced)
+    tou_evlog (TOU_EVLOG_STATE, "synced",
+               "\"revision\":%" G_GUINT64_FORMAT ",\"keys\":%u",
+               control->revision, g_hash_table_size (control->listed));
+  control->proxy->synced = TRUE;
+}
+
+static void control_list_page (TouControl *control, const char *after);
+
+static void
+control_on_list (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+  const char *last = NULL;
+
+  control_heard (control, reply->result, "list");
+  if (reply->result != PLAT_STORE_OK)
+    {
+      control->listing = FALSE;
+      control->retry_us = tou_clock_us () + CONTROL_RETRY_US;
+      return;
+    }
+  if (control->list_revision == 0)
+    control->list_revision = reply->revision;
+  for (guint i = 0; i < reply->items->len; i++)
+    {
+      const PlatStoreItem *item
+          = &g_array_index (reply->items, PlatStoreItem, i);
+
+      g_hash_table_add (control->listed, g_strdup (item->key));
+      control_apply (control, item);
+      last = item->key;
+    }
+  if (reply->more && last != NULL)
+    control_list_page (control, last);
+  else
+    control_list_complete (control);
+}
+
+static void
+control_list_page (TouControl *control, const char *after)
+{
+  control->listing = TRUE;
+  plat_store_list (control->store, "", after, control_on_list, control);
+}
+
+static void
+control_on_watch (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control->watching = FALSE;
+  control_heard (control, reply->result, "watch");
+  switch (reply->result)
+    {
+    case PLAT_STORE_OK:
+      for (guint i = 0; i < reply->items->len; i++)
+        control_apply (control,
+                       &g_array_index (reply->items, PlatStoreItem, i));
+      control->revision = MAX (control->revision, reply->revision);
+      break;
+    case PLAT_STORE_COMPACTED:
+      control->must_list = TRUE;
+      tou_evlog (TOU_EVLOG_STATE, "history_lost",
+                 "\"revision\":%" G_GUINT64_FORMAT, control->revision);
+      break;
+    case PLAT_STORE_CONFLICT:
+    case PLAT_STORE_NOT_FOUND:
+    case PLAT_STORE_REFUSED:
+    case PLAT_STORE_UNKNOWN:
+      control->retry_us = tou_clock_us () + CONTROL_RETRY_US;
+      break;
+    }
+}
+
+/* Keeps one list or watch under way. */
+static void
+control_follow (TouControl *control, guint64 now_us)
+{
+  if (control->listing || control->watching || now_us < control->retry_us)
+    return;
+  if (control->must_list)
+    {
+      control->list_revision = 0;
+      g_hash_table_remove_all (control->listed);
+      control_list_page (control, NULL);
+      return;
+    }
+  control->watching = TRUE;
+  plat_store_watch (control->store, "", control->revision, CONTROL_WATCH_US,
+                    control_on_watch, control);
+}
+
+static void
+control_on_register (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control_heard (control, reply->result, "register");
+  control->registering = FALSE;
+  control->registered = reply->result == PLAT_STORE_OK;
+  control->register_us = tou_clock_us () + CONTROL_RETRY_US;
+}
+
+static void
+control_register (TouControl *control, guint64 now_us)
+{
+  PlatStoreChange change = { 0 };
+  char *key;
+
+  if (control->registered || control->registering || control->proxy->draining
+      || now_us < control->register_us)
+    return;
+  key = g_strconcat (CONTROL_NODE_PREFIX, control->proxy->site.node.data, NULL);
+  change.key = key;
+  change.value = control->proxy->site.peers_listen.data;
+  control->registering = TRUE;
+  plat_store_change (control->store, &change, control_on_register, control);
+  g_free (key);
+}
+
+/* A list of the records proves each of them, and brings newer ones. */
+static void
+control_on_proof (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control_heard (control, reply->result, "records");
+  control->proving = FALSE;
+  if (reply->result != PLAT_STORE_OK)
+    return;
+  for (guint i = 0; i < reply->items->len; i++)
+    {
+      const PlatStoreItem *item
+          = &g_array_index (reply->items, PlatStoreItem, i);
+      TouName name = tou_name (item->key + strlen (CONTROL_GROUP_PREFIX));
+
+      control_on_group (control, item);
+      tou_authority_prove_by_store (
+          tou_group_get (control->proxy, &name)->authority, item->revision,
+          reply->sent_us);
+    }
+}
+
+static void
+control_prove (TouControl *control, guint64 now_us)
+{
+  guint64 oldest_us = G_MAXUINT64;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (control->proving || now_us < control->proved_us + CONTROL_RETRY_US)
+    return;
+  g_hash_table_iter_init (&iter, control->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+
+      if (tou_authority_record (group->authority)->revision != 0)
+        oldest_us
+            = MIN (oldest_us, tou_authority_proved_us (
+                                  group->authority, control->proxy->n_nodes));
+    }
+  if (oldest_us == G_MAXUINT64 || now_us < oldest_us + CONTROL_PROVE_US)
+    return;
+  control->proving = TRUE;
+  control->proved_us = now_us;
+  plat_store_list (control->store, CONTROL_GROUP_PREFIX, NULL, control_on_proof,
+                   control);
+}
+
+static void
+control_lost_duty (TouControl *control, const char *reason)
+{
+  if (!control->leading)
+    return;
+  control->leading = FALSE;
+  control->elect_us = tou_clock_us () + CONTROL_LEASE_US;
+  tou_evlog (TOU_EVLOG_STATE, "duty_lost",
+             "\"token\":%" G_GUINT64_FORMAT ",\"reason\":\"%s\"",
+             control->token, reason);
+}
+
+static void
+control_on_elected (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+  guint64 now_us = tou_clock_us ();
+
+  control_heard (control, reply->result, "take_duty");
+  control->electing = FALSE;
+  control->elect_us = now_us + CONTROL_RETRY_US;
+  if (reply->result == PLAT_STORE_NOT_FOUND)
+    control->lease = 0;
+  if (reply->result == PLAT_STORE_CONFLICT)
+    control->leader_known = TRUE;
+  if (reply->result != PLAT_STORE_OK || control->proxy->draining)
+    return;
+  control->leading = TRUE;
+  control->leader_known = TRUE;
+  control->token = reply->revision;
+  control->lead_since_us = now_us;
+  control->renew_us = now_us;
+  tou_evlog (TOU_EVLOG_STATE, "duty_taken", "\"token\":%" G_GUINT64_FORMAT,
+             control->token);
+}
+
+static void
+control_take_duty (TouControl *control)
+{
+  PlatStoreCondition condition = { CONTROL_LEADER_KEY, 0 };
+  PlatStoreChange change = { &condition, 1, CONTROL_LEADER_KEY,
+                             control->proxy->site.node.data, control->lease };
+
+  plat_store_change (control->store, &change, control_on_elected, control);
+}
+
+static void
+control_on_lease (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control_heard (control, reply->result, "lease");
+  if (reply->result != PLAT_STORE_OK || reply->lease == 0)
+    {
+      control->electing = FALSE;
+      control->elect_us = tou_clock_us () + CONTROL_RETRY_US;
+      return;
+    }
+  control->lease = reply->lease;
+  control->lease_until_us
+      = reply->sent_us + CONTROL_LEASE_US - CONTROL_LEASE_MARGIN_US;
+  control_take_duty (control);
+}
+
+static void
+control_elect (TouControl *control, guint64 now_us)
+{
+  guint64 spread_us = g_str_hash (control->proxy->site.node.data)
+                      % CONTROL_SPREAD_MS * TOU_US_PER_MS;
+
+  if (control->leading || control->electing || control->leader_known
+      || !control->proxy->synced || !control->registered
+      || control->proxy->draining
+      || now_us < MAX (control->leader_free_us + spread_us, control->elect_us))
+    return;
+  control->electing = TRUE;
+  plat_store_lease_grant (
+      control->store, MAX (CONTROL_LEASE_US, control->proxy->site.lease_min_us),
+      control_on_lease, control);
+}
+
+static void
+control_on_renewed (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control_heard (control, reply->result, "renew");
+  control->renewing = FALSE;
+  if (reply->result == PLAT_STORE_OK)
+    control->lease_until_us
+        = MAX (control->lease_until_us,
+               reply->sent_us + CONTROL_LEASE_US - CONTROL_LEASE_MARGIN_US);
+  else if (reply->result == PLAT_STORE_NOT_FOUND)
+    control_lost_duty (control, "lease ended");
+}
+
+static void
+control_renew (TouControl *control, guint64 now_us)
+{
+  if (!control->leading)
+    return;
+  if (now_us >= control->lease_until_us)
+    {
+      control_lost_duty (control, "lease not renewed");
+      return;
+    }
+  if (control->renewing || now_us < control->renew_us + CONTROL_RENEW_US)
+    return;
+  control->renewing = TRUE;
+  control->renew_us = now_us;
+  plat_store_lease_renew (control->store, control->lease, control_on_renewed,
+                          control);
+}
+
+static void
+control_on_removed (gpointer user_data, const PlatStoreReply *reply)
+{
+  TouControl *control = user_data;
+
+  control_heard (control, reply->result, "remove_node");
+  control->removing = FALSE;
+}
+
+/* Removes a node that nobody hears, so that changes don't wait for it. */
+static void
+control_remove_silent (TouControl *control, guint64 now_us)
+{
+  const TouName *node;
+  PlatStoreChange change = { 0 };
+  char *key;
+
+  if (control->removing
+      || now_us < control->lead_since_us + CONTROL_SILENT_NODE_US)
+    return;
+  node = tou_peers_silent (control->peers, now_us - CONTROL_SILENT_NODE_US);
+  if (node == NULL)
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "node_removed", "\"peer\":\"%s\"", node->data);
+  key = g_strconcat (CONTROL_NODE_PREFIX, node->data, NULL);
+  change.key = key;
+  control->removing = TRUE;
+  plat_store_change (control->store, &change, control_on_removed, control);
+  g_free (key);
+}
+
+static void
+control_view_endpoint (TouHandoverEndpoint *out, const TouEndpoint *endpoint)
+{
+  memset (out, 0, sizeof *out);
+  out->id = endpoint->info.id;
+  out->usable
+      = !endpoint->gone && endpoint->silent_us == 0
+        && (!endpoint->info.draining
+            || endpoint == tou_group_recorded_primary (endpoint->group));
+  out->role = endpoint->status.role;
+  out->term = endpoint->status.term;
+  out->received = endpoint->status.received;
+  out->status_us = endpoint->status_us;
+}
+
+static void
+control_view (const ControlGroup *state, TouHandoverView *out, guint64 now_us)
+{
+  TouControl *control = state->control;
+  TouGroup *group = state->group;
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  memset (out, 0, sizeof *out);
+  out->record = *tou_authority_record (group->authority);
+  if (primary != NULL)
+    {
+      out->primary_registered
+          = !primary->gone
+            && (primary->missing_since_us == 0
+                || now_us < primary->missing_since_us + CONTROL_MISSING_US);
+      /* A database that started anew under its id is a replica. */
+      if (primary->info.role == TOU_ROLE_REPLICA
+          && now_us >= state->adopted_us + CONTROL_ROLE_US)
+        out->primary_registered = FALSE;
+      out->primary_draining = primary->info.draining;
+    }
+  out->n_nodes = control->proxy->n_nodes;
+  out->n_reporting = 1 + tou_peers_reporting (control->peers, now_us);
+  out->n_suspecting = (primary != NULL && primary->silent_us != 0)
+                      + tou_peers_suspecting (control->peers, group, now_us);
+  out->n_acknowledged
+      = tou_group_is_quiet (group, now_us)
+        + tou_peers_quiet (control->peers, group, out->record.revision);
+  for (guint i = 0;
+       i < group->endpoints->len && out->n_endpoints < TOU_GROUP_MAX_ENDPOINTS;
+       i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      if (!endpoint->gone)
+        control_view_endpoint (&out->endpoints[out->n_endpoints++], endpoint);
+    }
+}
+
+static void
+control_on_written (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlGroup *state = user_data;
+
+  control_heard (state->control, reply->result, "write_record");
+  tou_evlog (TOU_EVLOG_STATE, "handover_written",
+             "\"group\":\"%s\",\"result\":%d,\"revision\":%" G_GUINT64_FORMAT,
+             state->group->name.data, (int)reply->result, reply->revision);
+  tou_handover_written (state->handover, reply->result == PLAT_STORE_OK,
+                        tou_clock_us ());
+}
+
+/* Written records are adopted at once: the watch brings them later. */
+typedef struct
+{
+  ControlGroup *state;
+  TouGroupRecord record;
+} ControlWrite;
+
+static void
+control_on_record_written (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlWrite *write = user_data;
+
+  if (reply->result == PLAT_STORE_OK)
+    {
+      write->record.revision = reply->revision;
+      tou_group_adopt (write->state->group, &write->record, "own write");
+      tou_authority_prove_by_store (write->state->group->authority,
+                                    reply->revision, reply->sent_us);
+    }
+  control_on_written (write->state, reply);
+  g_free (write);
+}
+
+static void
+control_write_record (ControlGroup *state, const TouHandoverAction *action)
+{
+  TouControl *control = state->control;
+  const TouGroupRecord *known = tou_authority_record (state->group->authority);
+  char *key = g_strconcat (CONTROL_GROUP_PREFIX, state->group->name.data, NULL);
+  char *value = tou_record_encode (&action->record);
+  /* Without the duty's key the write fails, so an order that follows it comes
+     from the holder. */
+  PlatStoreCondition conditions[]
+      = { { key, known->revision }, { CONTROL_LEADER_KEY, control->token } };
+  PlatStoreChange change
+      = { conditions, G_N_ELEMENTS (conditions), key, value, 0 };
+  ControlWrite *write = g_new0 (ControlWrite, 1);
+
+  write->state = state;
+  write->record = action->record;
+  plat_store_change (control->store, &change, control_on_record_written, write);
+  g_free (key);
+  free (value);
+}
+
+static void
+control_on_ordered (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlGroup *state = user_data;
+  TouHandoverOrder order = TOU_HANDOVER_NO_ANSWER;
+
+  if (reply->result == PLAT_STORE_OK)
+    order = TOU_HANDOVER_ORDERED;
+  else if (reply->result == PLAT_STORE_CONFLICT)
+    order = TOU_HANDOVER_REJECTED;
+  TOU_COUNT (state->control->proxy, STORE_CALLS);
+  tou_evlog (TOU_EVLOG_STATE, "promotion_answer",
+             "\"group\":\"%s\",\"result\":%d", state->group->name.data,
+             (int)reply->result);
+  tou_handover_ordered (state->handover, order, tou_clock_us ());
+}
+
+static TouEndpoint *
+control_endpoint (ControlGroup *state, const TouName *id)
+{
+  return g_hash_table_lookup (state->control->proxy->endpoints, id);
+}
+
+static void
+control_act (ControlGroup *state, const TouHandoverAction *action,
+             const TouHandoverView *view, guint64 now_us)
+{
+  TouControl *control = state->control;
+  TouEndpoint *endpoint;
+
+  if (action->kind == TOU_HANDOVER_NONE)
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "handover",
+             "\"group\":\"%s\",\"action\":%d,\"reason\":\"%s\","
+             "\"endpoint\":\"%s\",\"record\":%" G_GUINT64_FORMAT
+             ",\"term\":%" G_GUINT64_FORMAT
+             ",\"nodes\":%u,\"reporting\":%u,\"suspecting\":%u,\"quiet\":%u,"
+             "\"token\":%" G_GUINT64_FORMAT,
+             state->group->name.data, (int)action->kind, action->reason,
+             action->kind == TOU_HANDOVER_WRITE ? action->record.primary.data
+                                                : action->endpoint.data,
+             view->record.revision, view->record.term, view->n_nodes,
+             view->n_reporting, view->n_suspecting, view->n_acknowledged,
+             control->token);
+  switch (action->kind)
+    {
+    case TOU_HANDOVER_WRITE:
+      control_write_record (state, action);
+      break;
+    case TOU_HANDOVER_STEP_DOWN:
+      endpoint = control_endpoint (state, &action->endpoint);
+      if (endpoint != NULL)
+        tou_endpoint_step_down (endpoint, view->record.term + 1, now_us);
+      break;
+    case TOU_HANDOVER_PROMOTE:
+      TOU_COUNT (control->proxy, HANDOVERS);
+      plat_store_order_promotion (control->store, &state->group->name,
+                                  &action->endpoint, &control->proxy->site.node,
+                                  control->token, control_on_ordered, state);
+      break;
+    case TOU_HANDOVER_NONE:
+      break;
+    }
+}
+
+/* Former primaries that answer again are told who leads. */
+static void
+control_step_down_others (ControlGroup *state, guint64 now_us)
+{
+  TouGroup *group = state->group;
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+
+  if (record->revision == 0 || record->moving
+      || now_us < state->stepped_us + CONTROL_STEP_DOWN_US)
+    return;
+  state->stepped_us = now_us;
+  for (guint i = 0; i < group->endpoints->len; i++)
+    {
+      TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      if (tou_name_equal (&endpoint->info.id, &record->primary)
+          || endpoint->gone || endpoint->silent_us != 0)
+        continue;
+      if (endpoint->status.role == TOU_ROLE_PRIMARY
+          || (endpoint->info.role == TOU_ROLE_PRIMARY
+              && endpoint->status_us < state->adopted_us))
+        tou_endpoint_step_down (endpoint, record->term, now_us);
+    }
+}
+
+static void
+control_ask_statuses (ControlGroup *state, guint64 now_us)
+{
+  if (now_us < state->asked_us + CONTROL_STATUS_US)
+    return;
+  state->asked_us = now_us;
+  for (guint i = 0; i < state->group->endpoints->len; i++)
+    {
+      TouEndpoint *endpoint = g_ptr_array_index (state->group->endpoints, i);
+
+      if (!endpoint->gone && endpoint->silent_us == 0)
+        tou_endpoint_ask_status (endpoint, now_us);
+    }
+}
+
+static void
+control_run_group (ControlGroup *state, guint64 now_us)
+{
+  TouHandoverView view;
+  TouHandoverAction action;
+
+  control_view (state, &view, now_us);
+  if (view.n_endpoints == 0)
+    return;
+  tou_handover_step (state->handover, &view, now_us, &action);
+  control_act (state, &action, &view, now_us);
+  if (tou_handover_is_active (state->handover) || view.record.revision == 0)
+    control_ask_statuses (state, now_us);
+  control_step_down_others (state, now_us);
+}
+
+static ControlGroup *
+control_group (TouControl *control, TouGroup *group)
+{
+  ControlGroup *state = g_hash_table_lookup (control->groups, &group->name);
+
+  if (state != NULL)
+    return state;
+  state = g_new0 (ControlGroup, 1);
+  state->control = control;
+  state->group = group;
+  tou_handover_create (&state->handover);
+  g_hash_table_insert (control->groups, &group->name, state);
+  return state;
+}
+
+static void
+control_run_groups (TouControl *control, guint64 now_us)
+{
+  gboolean holds = control->leading && now_us < control->lease_until_us
+                   && now_us >= control->lead_since_us + CONTROL_TAKEOVER_US;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      ControlGroup *state = control_group (control, group);
+      guint64 revision = tou_authority_record (group->authority)->revision;
+
+      if (revision != state->adopted_revision)
+        {
+          state->adopted_revision = revision;
+          state->adopted_us = now_us;
+        }
+      if (holds)
+        control_run_group (state, now_us);
+      else
+        tou_handover_reset (state->handover);
+    }
+}
+
+void
+tou_control_tick (TouControl *control, guint64 now_us)
+{
+  control_follow (control, now_us);
+  control_register (control, now_us);
+  control_prove (control, now_us);
+  control_elect (control, now_us);
+  control_renew (control, now_us);
+  if (control->leading)
+    control_remove_silent (control, now_us);
+  control_run_groups (control, now_us);
+}
+
+static void
+control_on_left (gpointer user_data, const PlatStoreReply *reply)
+{
+  control_heard (user_data, reply->result, "leave");
+}
+
+void
+tou_control_leave (TouControl *control)
+{
+  char *key
+      = g_strconcat (CONTROL_NODE_PREFIX, control->proxy->site.node.data, NULL);
+  PlatStoreChange change = { NULL, 0, key, NULL, 0 };
+
+  control_lost_duty (control, "stopping");
+  if (control->lease != 0)
+    plat_store_lease_end (control->store, control->lease, control_on_left,
+                          control);
+  plat_store_change (control->store, &change, control_on_left, control);
+  g_free (key);
+}
+
+static void
+control_group_free (gpointer data)
+{
+  ControlGroup *state = data;
+
+  tou_handover_destroy (state->handover);
+  g_free (state);
+}
+
+int
+tou_control_create (TouControl **out, TouProxy *proxy, PlatStore *store,
+                    TouPeers *peers)
+{
+  TouControl *control = g_new0 (TouControl, 1);
+
+  control->proxy = proxy;
+  control->store = store;
+  control->peers = peers;
+  control->must_list = TRUE;
+  control->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                           NULL, control_group_free);
+  control->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  *out = control;
+  return TOU_OK;
+}
+
+void
+tou_control_destroy (TouControl *control)
+{
+  if (control == NULL)
+    return;
+  g_hash_table_destroy (control->groups);
+  g_hash_table_destroy (control->listed);
+  g_free (control);
+}
--- /dev/null
+++ b/src/session/dispatch.h
@@ -0,0 +1,21 @@
+/**
+ * @file dispatch.h
+ * Which statement runs next, and on which database.
+ */
+#pragma once
+
+#include "link.h"
+
+G_BEGIN_DECLS
+
+/** Runs queued statements of @a group as far as links allow. */
+void tou_dispatch_group (TouGroup *group);
+
+/** Refuses statements whose time has passed. */
+void tou_dispatch_expire (TouGroup *group, guint64 now_us);
+
+/** Notes that a replica lacked @a after, so that reads avoid it for a while. */
+void tou_dispatch_lacked (TouEndpoint *endpoint, TouLogPos after,
+                          guint64 now_us);
+
+G_END_DECLS
--- /dev/null
+++ b/src/session/peers.c
@@ -0,0 +1,415 @@
+#include "peers.h"
+
+#include "stream.h"
+
+#include <msgpack.h>
+
+#include <string.h>
+
+/* Heartbeats prove that a primary may be used for 1.5 s; five may be lost. */
+#define PEERS_INTERVAL_US (250 * TOU_US_PER_MS)
+/* While a group's primary is changed, its steps wait for heartbeats. */
+#define PEERS_URGENT_US (50 * TOU_US_PER_MS)
+/* A node is reporting if it was heard from within four heartbeats. */
+#define PEERS_REPORTING_US (1000 * TOU_US_PER_MS)
+#define PEERS_VERSION 1
+/* Fields of a message and of each group in it. */
+#define PEERS_FIELDS 6
+#define PEERS_GROUP_FIELDS 8
+
+/* What a node says of a group. */
+typedef struct
+{
+  guint64 quiet_revision; /* it stopped using the primary of this record */
+  gboolean suspects;
+} PeerGroup;
+
+typedef struct
+{
+  TouName node;
+  struct sockaddr_in address;
+  guint64 incarnation;
+  guint64 heard_us;
+  guint64 echo_us;    /* its send time, to be returned */
+  GHashTable *groups; /* TouName to PeerGroup */
+} Peer;
+
+struct TouPeers
+{
+  TouProxy *proxy;
+  uv_udp_t udp;
+  GHashTable *nodes; /* TouName to Peer */
+  guint64 next_us;
+};
+
+static void
+peer_free (gpointer data)
+{
+  Peer *peer = data;
+
+  g_hash_table_destroy (peer->groups);
+  g_free (peer);
+}
+
+static void
+peers_count (TouPeers *peers)
+{
+  peers->proxy->n_nodes = g_hash_table_size (peers->nodes) + 1;
+}
+
+void
+tou_peers_set (TouPeers *peers, const TouName *node, const TouName *address)
+{
+  struct sockaddr_in parsed;
+  Peer *peer;
+
+  if (tou_name_equal (node, &peers->proxy->site.node)
+      || tou_stream_address (&parsed, address) != TOU_OK)
+    return;
+  peer = g_hash_table_lookup (peers->nodes, node);
+  if (peer == NULL)
+    {
+      peer = g_new0 (Peer, 1);
+      peer->node = *node;
+      /* It gets a while to be heard before it counts as silent. */
+      peer->heard_us = tou_clock_us ();
+      peer->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                            g_free, g_free);
+      g_hash_table_insert (peers->nodes, &peer->node, peer);
+    }
+  peer->address = parsed;
+  peers_count (peers);
+}
+
+void
+tou_peers_remove (TouPeers *peers, const TouName *node)
+{
+  g_hash_table_remove (peers->nodes, node);
+  peers_count (peers);
+}
+
+void
+tou_peers_retain (TouPeers *peers, GHashTable *nodes)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (!g_hash_table_contains (nodes, key))
+      g_hash_table_iter_remove (&iter);
+  peers_count (peers);
+}
+
+static void
+pack_name (msgpack_packer *packer, const TouName *name)
+{
+  msgpack_pack_str_with_body (packer, name->data, name->len);
+}
+
+static void
+peers_pack_group (msgpack_packer *packer, TouGroup *group, guint64 now_us)
+{
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  msgpack_pack_array (packer, PEERS_GROUP_FIELDS);
+  pack_name (packer, &group->name);
+  msgpack_pack_uint64 (packer, record->revision);
+  msgpack_pack_uint64 (packer, record->term);
+  pack_name (packer, &record->primary);
+  msgpack_pack_uint64 (packer, record->moving);
+  pack_name (packer, &record->candidate);
+  msgpack_pack_uint64 (packer, primary != NULL && primary->silent_us != 0);
+  msgpack_pack_uint64 (packer, tou_group_is_quiet (group, now_us));
+}
+
+/* A node that has not read the store since its start does not know what it
+   acknowledged before, so it says nothing of groups. */
+static void
+peers_pack (msgpack_packer *packer, TouPeers *peers, const Peer *peer,
+            guint64 now_us)
+{
+  TouProxy *proxy = peers->proxy;
+  GHashTableIter iter;
+  gpointer value;
+  guint n_groups = 0;
+
+  msgpack_pack_array (packer, PEERS_FIELDS);
+  msgpack_pack_uint64 (packer, PEERS_VERSION);
+  pack_name (packer, &proxy->site.node);
+  msgpack_pack_uint64 (packer, proxy->incarnation);
+  msgpack_pack_uint64 (packer, now_us);
+  msgpack_pack_uint64 (packer, peer->echo_us);
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
+    n_groups++;
+  msgpack_pack_array (packer, n_groups);
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
+    peers_pack_group (packer, value, now_us);
+}
+
+static void
+peers_send (TouPeers *peers, const Peer *peer, guint64 now_us)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  uv_buf_t buf;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  peers_pack (&packer, peers, peer, now_us);
+  buf = uv_buf_init (buffer.data, (unsigned int)buffer.size);
+  /* A lost datagram is made up for by the next one. */
+  uv_udp_try_send (&peers->udp, &buf, 1,
+                   (const struct sockaddr *)&peer->address);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
+static gboolean
+unpack_name (TouName *out, const msgpack_object *object)
+{
+  return object->type == MSGPACK_OBJECT_STR
+         && tou_name_set (out, object->via.str.ptr, object->via.str.size)
+                == TOU_OK;
+}
+
+static gboolean
+unpack_number (guint64 *out, const msgpack_object *object)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return FALSE;
+  *out = object->via.u64;
+  return TRUE;
+}
+
+static gboolean
+peers_on_group (TouPeers *peers, Peer *peer, const msgpack_object *object,
+                guint64 echo_us)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  TouGroupRecord record = { 0 };
+  TouName name;
+  TouGroup *group;
+  PeerGroup *said;
+  guint64 moving;
+  guint64 suspects;
+  guint64 quiet;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size != PEERS_GROUP_FIELDS
+      || !unpack_name (&name, &fields[0])
+      || !unpack_number (&record.revision, &fields[1])
+      || !unpack_number (&record.term, &fields[2])
+      || !unpack_name (&record.primary, &fields[3])
+      || !unpack_number (&moving, &fields[4])
+      || !unpack_name (&record.candidate, &fields[5])
+      || !unpack_number (&suspects, &fields[6])
+      || !unpack_number (&quiet, &fields[7]))
+    return FALSE;
+  record.moving = moving != 0;
+  group = tou_group_get (peers->proxy, &name);
+  said = g_hash_table_lookup (peer->groups, &name);
+  if (said == NULL)
+    {
+      said = g_new0 (PeerGroup, 1);
+      g_hash_table_insert (peer->groups, g_memdup2 (&name, sizeof name), said);
+    }
+  said->suspects = suspects != 0;
+  said->quiet_revision = quiet != 0 ? record.revision : 0;
+  if (record.revision != 0)
+    tou_group_adopt (group, &record, peer->node.data);
+  if (record.revision != 0 && echo_us != 0)
+    tou_authority_prove_by_node (group->authority, &peer->node, record.revision,
+                                 echo_us);
+  return TRUE;
+}
+
+static gboolean
+peers_on_message (TouPeers *peers, const msgpack_object *object)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  TouName node;
+  Peer *peer;
+  guint64 version;
+  guint64 incarnation;
+  guint64 sent_us;
+  guint64 echo_us;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size != PEERS_FIELDS
+      || !unpack_number (&version, &fields[0]) || version != PEERS_VERSION
+      || !unpack_name (&node, &fields[1])
+      || !unpack_number (&incarnation, &fields[2])
+      || !unpack_number (&sent_us, &fields[3])
+      || !unpack_number (&echo_us, &fields[4])
+      || fields[5].type != MSGPACK_OBJECT_ARRAY)
+    return FALSE;
+  peer = g_hash_table_lookup (peers->nodes, &node);
+  /* A node that is not registered proves nothing. */
+  if (peer == NULL || incarnation < peer->incarnation)
+    return TRUE;
+  if (incarnation > peer->incarnation)
+    {
+      g_hash_table_remove_all (peer->groups);
+      peer->echo_us = 0;
+    }
+  peer->incarnation = incarnation;
+  peer->heard_us = tou_clock_us ();
+  peer->echo_us = MAX (peer->echo_us, sent_us);
+  if (echo_us > peer->heard_us)
+    echo_us = 0;
+  for (guint i = 0; i < fields[5].via.array.size; i++)
+    if (!peers_on_group (peers, peer, &fields[5].via.array.ptr[i], echo_us))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+peers_on_datagram (uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+                   const struct sockaddr *from, unsigned int flags)
+{
+  TouPeers *peers = udp->data;
+  msgpack_unpacked unpacked;
+
+  (void)flags;
+  if (n <= 0 || from == NULL)
+    return;
+  TOU_COUNT (peers->proxy, PEER_MESSAGES);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, buf->base, (size_t)n, NULL)
+          != MSGPACK_UNPACK_SUCCESS
+      || !peers_on_message (peers, &unpacked.data))
+    TOU_COUNT (peers->proxy, MALFORMED);
+  msgpack_unpacked_destroy (&unpacked);
+}
+
+void
+tou_peers_tick (TouPeers *peers, guint64 now_us)
+{
+  TouProxy *proxy = peers->proxy;
+  guint64 interval_us = PEERS_INTERVAL_US;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (tou_authority_record (((TouGroup *)value)->authority)->moving)
+      interval_us = PEERS_URGENT_US;
+  if (!proxy->record_changed && now_us < peers->next_us + interval_us)
+    return;
+  proxy->record_changed = FALSE;
+  peers->next_us = now_us;
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    peers_send (peers, value, now_us);
+}
+
+guint
+tou_peers_reporting (const TouPeers *peers, guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us < ((Peer *)value)->heard_us + PEERS_REPORTING_US)
+      count++;
+  return count;
+}
+
+guint
+tou_peers_suspecting (const TouPeers *peers, const TouGroup *group,
+                      guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Peer *peer = value;
+      const PeerGroup *said = g_hash_table_lookup (peer->groups, &group->name);
+
+      if (said != NULL && said->suspects
+          && now_us < peer->heard_us + PEERS_REPORTING_US)
+        count++;
+    }
+  return count;
+}
+
+guint
+tou_peers_quiet (const TouPeers *peers, const TouGroup *group, guint64 revision)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint count = 0;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PeerGroup *said
+          = g_hash_table_lookup (((Peer *)value)->groups, &group->name);
+
+      if (said != NULL && said->quiet_revision == revision)
+        count++;
+    }
+  return count;
+}
+
+const TouName *
+tou_peers_silent (const TouPeers *peers, guint64 before_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((Peer *)value)->heard_us < before_us)
+      return &((Peer *)value)->node;
+  return NULL;
+}
+
+int
+tou_peers_create (TouPeers **out, TouProxy *proxy)
+{
+  TouPeers *peers = g_new0 (TouPeers, 1);
+  struct sockaddr_in address;
+  int status = tou_stream_address (&address, &proxy->site.peers_listen);
+  int error = 0;
+
+  peers->proxy = proxy;
+  peers->nodes = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                        NULL, peer_free);
+  uv_udp_init (proxy->loop, &peers->udp);
+  peers->udp.data = peers;
+  if (status == TOU_OK)
+    error = uv_udp_bind (&peers->udp, (const struct sockaddr *)&address, 0);
+  if (status == TOU_OK && error == 0)
+    error
+        = uv_udp_recv_start (&peers->udp, tou_stream_alloc, peers_on_datagram);
+  if (status == TOU_OK && error != 0)
+    status
+        = tou_status_set (TOU_E_IO, "cannot receive on %s: %s",
+                          proxy->site.peers_listen.data, uv_strerror (error));
+  if (status != TOU_OK)
+    {
+      tou_peers_destroy (peers);
+      peers = NULL;
+    }
+  *out = peers;
+  return status;
+}
+
+void
+tou_peers_destroy (TouPeers *peers)
+{
+  if (peers == NULL)
+    return;
+  uv_udp_recv_stop (&peers->udp);
+  g_hash_table_destroy (peers->nodes);
+  g_free (peers);
+}
--- /dev/null
+++ b/src/session/peers.h
@@ -0,0 +1,37 @@
+/**
+ * @file peers.h
+ * Heartbeats between nodes: proofs for primaries, records, suspicions.
+ */
+#pragma once
+
+#include "link.h"
+
+G_BEGIN_DECLS
+
+typedef struct TouPeers TouPeers;
+
+int tou_peers_create (TouPeers **out, TouProxy *proxy);
+void tou_peers_destroy (TouPeers *peers);
+
+/** A node is registered, or registered anew; this node itself is ignored. */
+void tou_peers_set (TouPeers *peers, const TouName *node,
+                    const TouName *address);
+void tou_peers_remove (TouPeers *peers, const TouName *node);
+/** Removes all nodes that @a nodes (TouName set) lacks. */
+void tou_peers_retain (TouPeers *peers, GHashTable *nodes);
+
+/** Sends heartbeats that are due. */
+void tou_peers_tick (TouPeers *peers, guint64 now_us);
+
+/** Registered nodes heard from lately, this one not included. */
+guint tou_peers_reporting (const TouPeers *peers, guint64 now_us);
+/** Nodes heard from lately that cannot reach the primary of @a group. */
+guint tou_peers_suspecting (const TouPeers *peers, const TouGroup *group,
+                            guint64 now_us);
+/** Nodes that no longer use the primary of the record @a revision. */
+guint tou_peers_quiet (const TouPeers *peers, const TouGroup *group,
+                       guint64 revision);
+/** A node not heard from since @a before_us, or NULL. */
+const TouName *tou_peers_silent (const TouPeers *peers, guint64 before_us);
+
+G_END_DECLS
--- /dev/null
+++ b/src/session/proxy.c
@@ -0,0 +1,474 @@
+#include "proxy.h"
+
+#include "client.h"
+#include "dispatch.h"
+#include "stream.h"
+
+#include <jansson.h>
+
+#include <string.h>
+
+/* Waiting statements of one rank and group; at 500 a second they stand for
+   0.4 s, beyond which callers' objectives are missed. */
+#define PROXY_QUEUE_LIMIT 200
+/* Shares that less urgent ranks keep, in percent, as for the HTTP product. */
+#define PROXY_REVIEW_FLOOR 15
+#define PROXY_STATUS_FLOOR 5
+/* Connections that wait to be accepted: all sessions of a VM that is lost. */
+#define PROXY_BACKLOG 512
+/* The position of the primary is asked for when no statement has shown it for
+   this long; replicas need one that is a few hundred ms old. */
+#define PROXY_SAMPLE_US (400 * TOU_US_PER_MS)
+/* Time that open transactions get at a primary that is being replaced. */
+#define PROXY_FINISH_US (300 * TOU_US_PER_MS)
+/* The platform sends no new connections after two missed checks, a second
+   apart; sessions at rest are closed after that. */
+#define PROXY_CLOSE_IDLE_US (2200 * TOU_US_PER_MS)
+/* A leaving endpoint is no longer used this long before the limit. */
+#define PROXY_LEAVING_MARGIN_US TOU_US_PER_S
+
+static const guint proxy_floors[TOU_RANK_COUNT]
+    = { 0, PROXY_REVIEW_FLOOR, PROXY_STATUS_FLOOR };
+
+TouGroup *
+tou_group_get (TouProxy *proxy, const TouName *name)
+{
+  TouGroup *group = g_hash_table_lookup (proxy->groups, name);
+
+  if (group != NULL)
+    return group;
+  group = g_new0 (TouGroup, 1);
+  group->proxy = proxy;
+  group->name = *name;
+  group->endpoints = g_ptr_array_new ();
+  tou_authority_create (&group->authority);
+  tou_freshness_create (&group->freshness);
+  tou_queue_create (&group->writes, PROXY_QUEUE_LIMIT, 1);
+  tou_queue_create (&group->reads, PROXY_QUEUE_LIMIT, 1);
+  g_hash_table_insert (proxy->groups, &group->name, group);
+  return group;
+}
+
+static void
+group_destroy (gpointer data)
+{
+  TouGroup *group = data;
+
+  tou_authority_destroy (group->authority);
+  tou_freshness_destroy (group->freshness);
+  tou_queue_destroy (group->writes);
+  tou_queue_destroy (group->reads);
+  g_ptr_array_unref (group->endpoints);
+  g_free (group);
+}
+
+TouEndpoint *
+tou_group_recorded_primary (TouGroup *group)
+{
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+
+  for (guint i = 0; i < group->endpoints->len; i++)
+    {
+      TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      if (tou_name_equal (&endpoint->info.id, &record->primary))
+        return endpoint;
+    }
+  return NULL;
+}
+
+static gboolean
+endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us)
+{
+  guint64 drain_us = endpoint->proxy->site.drain_us;
+
+  return endpoint->gone
+         || (endpoint->leaving_since_us != 0
+             && now_us + PROXY_LEAVING_MARGIN_US
+                    >= endpoint->leaving_since_us + drain_us);
+}
+
+TouEndpoint *
+tou_group_primary (TouGroup *group, guint64 now_us)
+{
+  TouEndpoint *primary;
+
+  if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
+    return NULL;
+  primary = tou_group_recorded_primary (group);
+  return primary == NULL || endpoint_has_left (primary, now_us) ? NULL
+                                                                : primary;
+}
+
+gboolean
+tou_group_may_write (TouGroup *group, const TouEndpoint *endpoint,
+                     guint64 now_us)
+{
+  if (tou_group_primary (group, now_us) == endpoint)
+    return TRUE;
+  return tou_name_equal (&endpoint->info.id, &group->old_primary)
+         && now_us < group->finish_until_us
+         && !tou_group_is_quiet (group, now_us);
+}
+
+gboolean
+tou_group_is_quiet (TouGroup *group, guint64 now_us)
+{
+  const TouEndpoint *primary;
+
+  if (!tou_authority_record (group->authority)->moving)
+    return FALSE;
+  if (now_us >= group->finish_until_us)
+    return TRUE;
+  primary = tou_group_recorded_primary (group);
+  return primary == NULL || tou_endpoint_writes_in_flight (primary) == 0;
+}
+
+void
+tou_group_sample (TouGroup *group, const TouEndpoint *endpoint, guint64 sent_us,
+                  TouLogPos pos)
+{
+  if (tou_group_primary (group, sent_us) == endpoint)
+    tou_freshness_add (group->freshness, sent_us, pos);
+}
+
+void
+tou_group_adopt (TouGroup *group, const TouGroupRecord *record,
+                 const char *source)
+{
+  const TouGroupRecord *known = tou_authority_record (group->authority);
+  guint64 now_us = tou_clock_us ();
+  guint64 valid_until_us = 0;
+  gboolean was_usable = known->revision != 0 && !known->moving;
+  TouName old_primary = known->primary;
+
+  if (was_usable)
+    valid_until_us
+        = tou_authority_proved_us (group->authority, group->proxy->n_nodes)
+          + TOU_AUTHORITY_VALID_US;
+  if (!tou_authority_adopt (group->authority, record))
+    return;
+  if (was_usable)
+    {
+      group->old_primary = old_primary;
+      group->finish_until_us
+          = record->moving ? MIN (now_us + PROXY_FINISH_US, valid_until_us) : 0;
+    }
+  group->proxy->record_changed = TRUE;
+  tou_evlog (TOU_EVLOG_STATE, "group_record",
+             "\"group\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+             ",\"term\":%" G_GUINT64_FORMAT
+             ",\"primary\":\"%s\",\"moving\":%s,\"candidate\":\"%s\","
+             "\"source\":\"%s\"",
+             group->name.data, record->revision, record->term,
+             record->primary.data, record->moving ? "true" : "false",
+             record->candidate.data, source);
+}
+
+static void
+group_configure (TouGroup *group)
+{
+  guint reads = 0;
+  guint writes = 1;
+
+  for (guint i = 0; i < group->endpoints->len; i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      reads += endpoint->info.slots;
+      writes = MAX (writes, endpoint->info.slots);
+    }
+  tou_queue_configure (group->writes, writes, proxy_floors);
+  tou_queue_configure (group->reads, MAX (reads, 1), proxy_floors);
+}
+
+void
+tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing)
+{
+  GHashTableIter iter;
+  gpointer limits;
+
+  if (proxy->routing != NULL && routing->version <= proxy->routing->version)
+    {
+      tou_routing_destroy (routing);
+      return;
+    }
+  tou_evlog (TOU_EVLOG_STATE, "config",
+             "\"version\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
+             ",\"routes\":%u",
+             routing->version,
+             proxy->routing != NULL ? proxy->routing->version : 0,
+             g_hash_table_size (routing->routes));
+  tou_routing_destroy (proxy->routing);
+  proxy->routing = routing;
+  g_hash_table_iter_init (&iter, routing->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &limits))
+    {
+      const TouGroupLimits *given = limits;
+
+      tou_group_get (proxy, &given->name)->limits = *given;
+    }
+}
+
+gboolean
+tou_proxy_is_ready (TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (proxy->draining || proxy->routing == NULL || !proxy->synced)
+    return FALSE;
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (tou_endpoint_is_usable (value)
+        && ((const TouEndpoint *)value)->heard_us != 0)
+      return TRUE;
+  return FALSE;
+}
+
+static void
+proxy_on_connection (uv_stream_t *server, int status)
+{
+  if (status == 0)
+    tou_client_accept (server->data, server);
+  else
+    tou_evlog (TOU_EVLOG_FAILURE, "accept", "\"error\":\"%s\"",
+               uv_strerror (status));
+}
+
+int
+tou_proxy_listen (TouProxy *proxy)
+{
+  struct sockaddr_in address;
+  int status = tou_stream_address (&address, &proxy->site.callers_listen);
+  int error;
+
+  if (status != TOU_OK)
+    return status;
+  uv_tcp_init (proxy->loop, &proxy->listener);
+  proxy->listener.data = proxy;
+  error = uv_tcp_bind (&proxy->listener, (const struct sockaddr *)&address, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)&proxy->listener, PROXY_BACKLOG,
+                       proxy_on_connection);
+  if (error != 0)
+    return tou_status_set (TOU_E_IO, "cannot listen on %s: %s",
+                           proxy->site.callers_listen.data,
+                           uv_strerror (error));
+  return TOU_OK;
+}
+
+int
+tou_proxy_create (TouProxy **out, uv_loop_t *loop, const TouSite *site)
+{
+  TouProxy *proxy = g_new0 (TouProxy, 1);
+
+  proxy->loop = loop;
+  proxy->site = *site;
+  proxy->n_nodes = 1;
+  proxy->incarnation = (guint64)g_get_real_time () / 1000;
+  proxy->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                         NULL, group_destroy);
+  proxy->endpoints = g_hash_table_new (tou_name_hash, tou_name_equal_func);
+  g_queue_init (&proxy->clients);
+  *out = proxy;
+  return TOU_OK;
+}
+
+void
+tou_proxy_destroy (TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (proxy == NULL)
+    return;
+  while (proxy->clients.head != NULL)
+    tou_client_close (proxy->clients.head->data);
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tou_endpoint_destroy (value);
+  g_hash_table_destroy (proxy->endpoints);
+  g_hash_table_destroy (proxy->groups);
+  tou_routing_destroy (proxy->routing);
+  tou_client_shapes_destroy ();
+  g_free (proxy);
+}
+
+/* Keeps a position of the primary at hand for reads by replicas. */
+static void
+group_refresh_position (TouGroup *group, TouEndpoint *primary, guint64 now_us)
+{
+  if (now_us < tou_freshness_newest_us (group->freshness) + PROXY_SAMPLE_US
+      || now_us < primary->status_asked_us + PROXY_SAMPLE_US)
+    return;
+  tou_endpoint_ask_status (primary, now_us);
+}
+
+static void
+group_tick (TouGroup *group, guint64 now_us)
+{
+  TouEndpoint *primary = tou_group_primary (group, now_us);
+  gboolean usable = primary != NULL && primary->silent_us == 0;
+
+  if (usable)
+    group_refresh_position (group, primary, now_us);
+  if (usable != (group->no_primary_us == 0))
+    {
+      group->no_primary_us = usable ? 0 : now_us;
+      tou_evlog (
+          TOU_EVLOG_STATE, usable ? "primary_usable" : "primary_lost",
+          "\"group\":\"%s\",\"primary\":\"%s\",\"proof_age_ms\":"
+          "%" G_GUINT64_FORMAT,
+          group->name.data,
+          tou_authority_record (group->authority)->primary.data,
+          (now_us
+           - tou_authority_proved_us (group->authority, group->proxy->n_nodes))
+              / TOU_US_PER_MS);
+    }
+  group_configure (group);
+  tou_dispatch_group (group);
+  tou_dispatch_expire (group, now_us);
+}
+
+/* A database that is missing for longer than its entry needs to come back is
+   no longer used. */
+static void
+endpoint_check_missing (TouEndpoint *endpoint, guint64 now_us)
+{
+  if (!endpoint->gone && endpoint->missing_since_us != 0
+      && endpoint_has_left (endpoint, now_us))
+    {
+      endpoint->gone = TRUE;
+      tou_evlog (TOU_EVLOG_STATE, "endpoint_gone",
+                 "\"endpoint\":\"%s\",\"group\":\"%s\"", endpoint->info.id.data,
+                 endpoint->group->name.data);
+    }
+}
+
+void
+tou_proxy_tick (TouProxy *proxy, guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GList *next;
+
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      endpoint_check_missing (value, now_us);
+      tou_endpoint_tick (value, now_us);
+    }
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    group_tick (value, now_us);
+  for (GList *node = proxy->clients.head; node != NULL; node = next)
+    {
+      next = node->next;
+      tou_client_tick (node->data, now_us);
+    }
+}
+
+void
+tou_proxy_drain (TouProxy *proxy, guint64 now_us)
+{
+  proxy->draining = TRUE;
+  proxy->close_idle_us = now_us + PROXY_CLOSE_IDLE_US;
+  proxy->end_txns_us = now_us + proxy->site.grace_us / 2;
+}
+
+char *
+tou_proxy_metrics (TouProxy *proxy)
+{
+  static const struct
+  {
+    const char *name;
+    const char *help;
+  } counters[] = {
+#define PROXY_COUNTER(name, exported, help) { exported, help },
+    TOU_SESSION_COUNTERS (PROXY_COUNTER)
+#undef PROXY_COUNTER
+  };
+  GString *out = g_string_new (NULL);
+
+  for (guint i = 0; i < TOU_COUNT_N; i++)
+    g_string_append_printf (out,
+                            "# HELP toucanscale_%s %s\n# TYPE toucanscale_%s "
+                            "counter\ntoucanscale_%s %" G_GUINT64_FORMAT "\n",
+                            counters[i].name, counters[i].help,
+                            counters[i].name, counters[i].name,
+                            proxy->counters[i]);
+  g_string_append (out, "# TYPE toucanscale_latency_ms histogram\n");
+  for (guint rank = 0; rank < TOU_RANK_COUNT; rank++)
+    {
+      guint64 total = 0;
+
+      for (guint i = 0; i < TOU_LATENCY_BUCKETS; i++)
+        {
+          total += proxy->latency[rank][i];
+          if (i + 1 < TOU_LATENCY_BUCKETS)
+            g_string_append_printf (out,
+                                    "toucanscale_latency_ms_bucket{rank=\"%u\","
+                                    "le=\"%u\"} %" G_GUINT64_FORMAT "\n",
+                                    rank, 1U << i, total);
+        }
+      g_string_append_printf (out,
+                              "toucanscale_latency_ms_bucket{rank=\"%u\","
+                              "le=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
+                              rank, total);
+    }
+  return g_string_free (out, FALSE);
+}
+
+static json_t *
+proxy_dump_endpoint (const TouEndpoint *endpoint)
+{
+  return json_pack (
+      "{s:s,s:s,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id", endpoint->info.id.data,
+      "address", endpoint->info.address.data, "draining",
+      endpoint->info.draining, "gone", endpoint->gone, "silent",
+      endpoint->silent_us != 0, "links", (int)endpoint->links->len, "busy",
+      (int)endpoint->n_busy, "latency_us", (json_int_t)endpoint->latency_us,
+      "term", (json_int_t)endpoint->known.term, "position",
+      (json_int_t)endpoint->known.position);
+}
+
+char *
+tou_proxy_dump (TouProxy *proxy)
+{
+  json_t *groups = json_array ();
+  json_t *root;
+  char *text;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      const TouGroupRecord *record = tou_authority_record (group->authority);
+      json_t *endpoints = json_array ();
+
+      for (guint i = 0; i < group->endpoints->len; i++)
+        json_array_append_new (
+            endpoints,
+            proxy_dump_endpoint (g_ptr_array_index (group->endpoints, i)));
+      json_array_append_new (
+          groups,
+          json_pack ("{s:s,s:I,s:I,s:s,s:b,s:i,s:i,s:o}", "name",
+                     group->name.data, "revision", (json_int_t)record->revision,
+                     "term", (json_int_t)record->term, "primary",
+                     record->primary.data, "moving", record->moving,
+                     "queued_writes", (int)tou_queue_length (group->writes),
+                     "queued_reads", (int)tou_queue_length (group->reads),
+                     "endpoints", endpoints));
+    }
+  root = json_pack (
+      "{s:s,s:I,s:i,s:i,s:b,s:o}", "node", proxy->site.node.data, "config",
+      (json_int_t)(proxy->routing != NULL ? proxy->routing->version : 0),
+      "sessions", (int)proxy->clients.length, "nodes", (int)proxy->n_nodes,
+      "draining", proxy->draining, "groups", groups);
+  text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
--- /dev/null
+++ b/src/session/proxy.h
@@ -0,0 +1,147 @@
+/**
+ * @file proxy.h
+ * State of the session proxy, shared by its modules.
+ *
+ * Everything runs on one event loop: on a VM with a quarter of a core the
+ * hand-over of a statement between threads costs more than the statement.
+ */
+#pragma once
+
+#include "authority.h"
+#include "clock.h"
+#include "evlog.h"
+#include "freshness.h"
+#include "queue.h"
+#include "sql.h"
+
+#include "site.h"
+
+#include <uv.h>
+
+G_BEGIN_DECLS
+
+typedef struct TouProxy TouProxy;
+typedef struct TouGroup TouGroup;
+typedef struct TouEndpoint TouEndpoint;
+typedef struct TouLink TouLink;
+typedef struct TouClient TouClient;
+typedef struct TouTask TouTask;
+
+/** The table of counters: X (NAME, exported name, help). */
+#define TOU_SESSION_COUNTERS(X)                                                \
+  X (SESSIONS, "sessions_total", "caller sessions accepted")                   \
+  X (STATEMENTS, "statements_total", "statements taken from callers")          \
+  X (SERVED, "served_total", "statements answered with a database's proof")    \
+  X (REFUSED, "refused_total", "statements refused, not run")                  \
+  X (IN_DOUBT, "in_doubt_total", "statements whose outcome is unknown")        \
+  X (RETRIED, "retried_total", "statements moved to another database")         \
+  X (REPLICA, "replica_total", "statements run on a replica")                  \
+  X (PRIMARY, "primary_total", "statements run on a primary")                  \
+  X (LAGGING, "lagging_total", "replicas that lacked the needed position")     \
+  X (LINKS, "links_opened_total", "database connections opened")               \
+  X (LINKS_REFUSED, "links_refused_total", "database connections refused")     \
+  X (STEPS, "link_steps_total", "statements of the proxy's own on links")      \
+  X (MALFORMED, "malformed_total", "messages that could not be read")          \
+  X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
+  X (STORE_FAILED, "store_failed_total", "store calls refused or lost")        \
+  X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
+  X (HANDOVERS, "handovers_total", "changes of primary run by this node")
+
+typedef enum
+{
+#define TOU_SESSION_COUNTER_ENUM(name, exported, help) TOU_COUNT_##name,
+  TOU_SESSION_COUNTERS (TOU_SESSION_COUNTER_ENUM)
+#undef TOU_SESSION_COUNTER_ENUM
+      TOU_COUNT_N
+} TouSessionCounter;
+
+/** Upper bounds of the latency histogram's buckets: 2^i ms. */
+#define TOU_LATENCY_BUCKETS 14
+
+struct TouProxy
+{
+  uv_loop_t *loop;
+  TouSite site;
+  guint64 incarnation;   /**< wall-clock ms of the start */
+  TouRouting *routing;   /**< NULL until the first configuration is known */
+  GHashTable *groups;    /**< TouName to TouGroup */
+  GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
+  GQueue clients;        /**< of TouClient */
+  uv_tcp_t listener;
+  guint n_nodes;         /**< registered nodes, this one included */
+  gboolean synced;       /**< the store has been read since the start */
+  gboolean draining;     /**< the stop signal has been received */
+  guint64 close_idle_us; /**< draining: sessions at rest are closed from then */
+  guint64 end_txns_us;   /**< draining: idle transactions end then */
+  gboolean record_changed; /**< tell the other nodes at once */
+  guint64 counters[TOU_COUNT_N];
+  guint64 latency[TOU_RANK_COUNT][TOU_LATENCY_BUCKETS];
+};
+
+#define TOU_COUNT(proxy, name) ((proxy)->counters[TOU_COUNT_##name]++)
+
+/** A database group as this node serves it. */
+struct TouGroup
+{
+  TouProxy *proxy;
+  TouName name;
+  TouGroupLimits limits;
+  TouAuthority *authority;
+  TouFreshness *freshness;
+  GPtrArray *endpoints; /**< of TouEndpoint, borrowed */
+  TouQueue *writes;     /**< statements that need the primary */
+  TouQueue *reads;      /**< statements that a replica may run */
+  gboolean dispatching;
+  TouName old_primary;     /**< while a change is under way */
+  guint64 finish_until_us; /**< its open transactions may end until then */
+  guint64 no_primary_us;   /**< since when none may be used; 0: one may */
+};
+
+/** Finds or creates a group. */
+TouGroup *tou_group_get (TouProxy *proxy, const TouName *name);
+
+/** The group's primary if this node may use it at @a now_us, else NULL. */
+TouEndpoint *tou_group_primary (TouGroup *group, guint64 now_us);
+
+/** The endpoint that the record names, or NULL. */
+TouEndpoint *tou_group_recorded_primary (TouGroup *group);
+
+/** Notes the position of @a endpoint's answer to a statement of @a sent_us. */
+void tou_group_sample (TouGroup *group, const TouEndpoint *endpoint,
+                       guint64 sent_us, TouLogPos pos);
+
+/**
+ * TRUE if writes on @a endpoint may still be sent and acknowledged: it is the
+ * primary, or a change has been announced a moment ago.
+ */
+gboolean tou_group_may_write (TouGroup *group, const TouEndpoint *endpoint,
+                              guint64 now_us);
+
+/** TRUE if this node has stopped using the primary of a moving record. */
+gboolean tou_group_is_quiet (TouGroup *group, guint64 now_us);
+
+/** Adopts a newer record from the store or another node. */
+void tou_group_adopt (TouGroup *group, const TouGroupRecord *record,
+                      const char *source);
+
+int tou_proxy_create (TouProxy **out, uv_loop_t *loop, const TouSite *site);
+void tou_proxy_destroy (TouProxy *proxy);
+/** Accepts callers. */
+int tou_proxy_listen (TouProxy *proxy);
+/** Periodic work; call it every TOU_PROXY_TICK_US. */
+void tou_proxy_tick (TouProxy *proxy, guint64 now_us);
+/** Replaces the configuration by a newer version; takes it over. */
+void tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing);
+/** TRUE if callers should be sent here. */
+gboolean tou_proxy_is_ready (TouProxy *proxy);
+/** Begins a graceful shutdown. */
+void tou_proxy_drain (TouProxy *proxy, guint64 now_us);
+/** Text of the counters and histograms. */
+char *tou_proxy_metrics (TouProxy *proxy);
+/** State of groups, endpoints and sessions as JSON; free with free(). */
+char *tou_proxy_dump (TouProxy *proxy);
+
+/** Interval of the periodic work. */
+#define TOU_PROXY_TICK_US (25 * TOU_US_PER_MS)
+
+G_END_DECLS
--- /dev/null
+++ b/src/session/sessiond.c
@@ -0,0 +1,169 @@
+#include "sessiond.h"
+
+#include "admin.h"
+#include "control.h"
+
+#include <malloc.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Time kept for leaving the registry before the platform kills the process. */
+#define SESSIOND_EXIT_MARGIN_US (600 * TOU_US_PER_MS)
+/* The duty is given up this long before the process ends. */
+#define SESSIOND_LEAVE_US (250 * TOU_US_PER_MS)
+
+typedef struct
+{
+  TouProxy *proxy;
+  TouAdmin *admin;
+  TouPeers *peers;
+  TouControl *control;
+  PlatHttp *http;
+  PlatStore *store;
+  const char *settings_path;
+  uv_loop_t loop;
+  uv_timer_t timer;
+  uv_signal_t term;
+  uv_signal_t interrupt;
+  uv_signal_t hangup;
+  guint64 kill_us;  /* the platform kills the process then */
+  guint64 leave_us; /* when the registration was given up */
+} TouSessiond;
+
+static void
+sessiond_on_stop (uv_signal_t *handle, int signum)
+{
+  TouSessiond *daemon = handle->data;
+  guint64 now_us = tou_clock_us ();
+
+  if (daemon->proxy->draining)
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "stopping", "\"signal\":%d,\"sessions\":%u",
+             signum, daemon->proxy->clients.length);
+  daemon->kill_us = now_us + daemon->proxy->site.grace_us;
+  tou_proxy_drain (daemon->proxy, now_us);
+}
+
+static void
+sessiond_on_hangup (uv_signal_t *handle, int signum)
+{
+  TouSessiond *daemon = handle->data;
+  TouSite site;
+
+  (void)signum;
+  if (plat_site_load (&site, daemon->settings_path) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_STATE, "reload_failed", "\"error\":\"%s\"",
+                 tou_status_message ());
+      return;
+    }
+  daemon->proxy->site.drain_us = site.drain_us;
+  daemon->proxy->site.grace_us = site.grace_us;
+  tou_evlog (TOU_EVLOG_STATE, "reload",
+             "\"drain_ms\":%" G_GUINT64_FORMAT
+             ",\"grace_ms\":%" G_GUINT64_FORMAT,
+             site.drain_us / TOU_US_PER_MS, site.grace_us / TOU_US_PER_MS);
+}
+
+/* Leaves the registry once no session is left or time runs short. */
+static void
+sessiond_tick_stop (TouSessiond *daemon, guint64 now_us)
+{
+  TouProxy *proxy = daemon->proxy;
+
+  if (daemon->leave_us == 0
+      && ((proxy->clients.length == 0 && now_us >= proxy->close_idle_us)
+          || now_us + SESSIOND_EXIT_MARGIN_US >= daemon->kill_us))
+    {
+      daemon->leave_us = now_us;
+      tou_control_leave (daemon->control);
+    }
+  if (daemon->leave_us != 0 && now_us >= daemon->leave_us + SESSIOND_LEAVE_US)
+    uv_stop (&daemon->loop);
+}
+
+static void
+sessiond_on_timer (uv_timer_t *timer)
+{
+  TouSessiond *daemon = timer->data;
+  guint64 now_us = tou_clock_us ();
+
+  tou_proxy_tick (daemon->proxy, now_us);
+  tou_peers_tick (daemon->peers, now_us);
+  if (daemon->leave_us == 0)
+    tou_control_tick (daemon->control, now_us);
+  if (daemon->proxy->draining)
+    sessiond_tick_stop (daemon, now_us);
+}
+
+static void
+sessiond_watch_signal (TouSessiond *daemon, uv_signal_t *handle,
+                       uv_signal_cb on_signal, int signum)
+{
+  uv_signal_init (&daemon->loop, handle);
+  handle->data = daemon;
+  uv_signal_start (handle, on_signal, signum);
+}
+
+static void
+sessiond_destroy (TouSessiond *daemon)
+{
+  tou_admin_destroy (daemon->admin);
+  tou_control_destroy (daemon->control);
+  tou_peers_destroy (daemon->peers);
+  tou_proxy_destroy (daemon->proxy);
+  plat_store_destroy (daemon->store);
+  plat_http_destroy (daemon->http);
+}
+
+int
+tou_sessiond_run (const TouSite *site, const char *settings_path)
+{
+  TouSessiond daemon;
+  int status;
+
+  memset (&daemon, 0, sizeof daemon);
+  daemon.settings_path = settings_path;
+  signal (SIGPIPE, SIG_IGN);
+  uv_loop_init (&daemon.loop);
+  status = tou_proxy_create (&daemon.proxy, &daemon.loop, site);
+  tou_evlog_init (daemon.proxy->site.node.data);
+  if (status == TOU_OK)
+    status = plat_http_create (&daemon.http, &daemon.loop);
+  if (status == TOU_OK)
+    status = plat_store_create (&daemon.store, daemon.http,
+                                site->store_address.data,
+                                site->orders_address.data);
+  if (status == TOU_OK)
+    status = tou_peers_create (&daemon.peers, daemon.proxy);
+  if (status == TOU_OK)
+    status = tou_control_create (&daemon.control, daemon.proxy, daemon.store,
+                                 daemon.peers);
+  if (status == TOU_OK)
+    status = tou_admin_create (&daemon.admin, daemon.proxy);
+  if (status == TOU_OK)
+    status = tou_proxy_listen (daemon.proxy);
+  if (status == TOU_OK)
+    {
+      sessiond_watch_signal (&daemon, &daemon.term, sessiond_on_stop, SIGTERM);
+      sessiond_watch_signal (&daemon, &daemon.interrupt, sessiond_on_stop,
+                             SIGINT);
+      sessiond_watch_signal (&daemon, &daemon.hangup, sessiond_on_hangup,
+                             SIGHUP);
+      uv_timer_init (&daemon.loop, &daemon.timer);
+      daemon.timer.data = &daemon;
+      uv_timer_start (&daemon.timer, sessiond_on_timer, 0,
+                      TOU_PROXY_TICK_US / TOU_US_PER_MS);
+      tou_evlog (TOU_EVLOG_STATE, "started",
+                 "\"failure_domain\":\"%s\",\"callers\":\"%s\","
+                 "\"incarnation\":%" G_GUINT64_FORMAT,
+                 site->failure_domain.data, site->callers_listen.data,
+                 daemon.proxy->incarnation);
+      uv_run (&daemon.loop, UV_RUN_DEFAULT);
+      tou_evlog (TOU_EVLOG_STATE, "stopped", "\"sessions\":%u",
+                 daemon.proxy->clients.length);
+    }
+  sessiond_destroy (&daemon);
+  return status;
+}
--- /dev/null
+++ b/src/session/sql.h
@@ -0,0 +1,188 @@
+/**
+ * @file sql.h
+ * Types of the session protocol: statements, routes, endpoints and results.
+ *
+ * The decoders that fill them are in platform/.
+ */
+#pragma once
+
+#include "toucanscale/types.h"
+
+G_BEGIN_DECLS
+
+/** Borrowed, length-counted bytes. */
+typedef struct
+{
+  const char *data;
+  gsize len;
+} TouSlice;
+
+typedef enum
+{
+  TOU_SQL_INVALID,
+  TOU_SQL_BEGIN,
+  TOU_SQL_COMMIT,
+  TOU_SQL_ROLLBACK,
+  TOU_SQL_READ,
+  TOU_SQL_WRITE,
+  TOU_SQL_SET,
+  TOU_SQL_PREPARE,
+  TOU_SQL_EXECUTE,
+  TOU_SQL_DEALLOCATE
+} TouSqlKind;
+
+/** A caller's statement; the slices point into its text. */
+typedef struct
+{
+  TouSqlKind kind;
+  union
+  {
+    struct
+    {
+      gboolean read_only;
+    } begin;
+    struct
+    {
+      TouSlice name;
+      TouSlice value;
+    } set;
+    struct
+    {
+      TouSlice name;
+      TouSlice shape;
+      gboolean writes;
+    } prepare;
+    struct
+    {
+      TouSlice name;
+      TouSlice arguments;
+    } execute;
+    struct
+    {
+      TouSlice name;
+    } deallocate;
+  } as;
+} TouSqlStatement;
+
+/** Error codes that a database or the proxy answers with. */
+typedef enum
+{
+  TOU_SQL_E_OTHER, /**< a code that the protocol does not name */
+  TOU_SQL_E_BUSY,
+  TOU_SQL_E_LAGGING,
+  TOU_SQL_E_READ_ONLY,
+  TOU_SQL_E_MOVED,
+  TOU_SQL_E_TOO_MANY_CONNECTIONS,
+  TOU_SQL_E_ABORTED,
+  TOU_SQL_E_IN_DOUBT,
+  TOU_SQL_E_TIMEOUT,
+  TOU_SQL_E_FAILED,
+  TOU_SQL_E_UNKNOWN_STATEMENT,
+  TOU_SQL_E_UNKNOWN_DATABASE,
+  TOU_SQL_E_TOO_LARGE,
+  TOU_SQL_E_MALFORMED,
+  TOU_SQL_E_UNAUTHORIZED
+} TouSqlError;
+
+/** Transaction state of a session. */
+typedef enum
+{
+  TOU_SQL_STATE_IDLE,
+  TOU_SQL_STATE_OPEN,
+  TOU_SQL_STATE_FAILED
+} TouSqlState;
+
+/** Messages of a caller. */
+typedef struct
+{
+  enum
+  {
+    TOU_SQL_CALLER_INVALID,
+    TOU_SQL_CALLER_STARTUP,
+    TOU_SQL_CALLER_QUERY,
+    TOU_SQL_CALLER_TERMINATE
+  } kind;
+  TouSlice database; /**< STARTUP */
+  TouSlice id;       /**< QUERY */
+  TouSlice text;     /**< QUERY */
+} TouSqlCallerMessage;
+
+/** Messages of a database. */
+typedef struct
+{
+  enum
+  {
+    TOU_SQL_REPLY_INVALID,
+    TOU_SQL_REPLY_READY,
+    TOU_SQL_REPLY_ROW,
+    TOU_SQL_REPLY_COMPLETE,
+    TOU_SQL_REPLY_ERROR
+  } kind;
+  TouSqlState state; /**< READY */
+  TouLogPos pos;     /**< READY; term 0 if it has none */
+  TouSqlError error; /**< ERROR */
+  TouSlice text;     /**< ROW, COMPLETE, ERROR: the last field */
+} TouSqlReply;
+
+/** What a database reports when asked for its status. */
+typedef struct
+{
+  TouRole role;
+  guint64 term;
+  TouLogPos received; /**< newest log record that it holds */
+  guint connections;
+} TouSqlStatus;
+
+/** How statements for one database name are routed. */
+typedef struct
+{
+  TouName name;
+  TouName database; /**< name that callers connect to */
+  TouName group;
+  TouReadMode mode;
+  TouRank rank;
+  guint64 max_age_us; /**< 0: no bound */
+  guint64 timeout_us; /**< of one statement */
+  guint64 target_us;  /**< latency objective of an operation */
+} TouRoute;
+
+/** Limits of a database group. */
+typedef struct
+{
+  TouName name;
+  guint connection_limit; /**< of each database, all callers together */
+  guint sync_replicas;
+} TouGroupLimits;
+
+/** One version of the configuration; immutable. */
+typedef struct
+{
+  guint64 version;
+  GHashTable *routes; /**< database name to TouRoute */
+  GHashTable *groups; /**< group name to TouGroupLimits */
+  guint64 txn_idle_us;
+} TouRouting;
+
+void tou_routing_destroy (TouRouting *routing);
+
+/** A database as it describes itself in the registry. */
+typedef struct
+{
+  TouName id;
+  TouName group;
+  TouName address;
+  TouName failure_domain;
+  guint slots;
+  gboolean draining;
+  TouRole role;
+  guint64 born_ms; /**< start of the database, tells apart two lives of an id */
+} TouEndpointInfo;
+
+/** Owned name/value pairs of a session, in the order of their first SET. */
+typedef struct
+{
+  GPtrArray *names;  /**< of char * */
+  GPtrArray *values; /**< of char * */
+} TouSqlValues;
+
+G_END_DECLS
--- /dev/null
+++ b/src/session/stream.c
@@ -0,0 +1,87 @@
+#include "stream.h"
+
+#include "toucanscale/status.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Largest piece read at once, in bytes. */
+#define STREAM_READ_BYTES (64U * 1024)
+/* A peer that acknowledges nothing for this long is gone; the databases drop
+   an unreachable connection after 3 s. */
+#define STREAM_USER_TIMEOUT_MS 3000
+
+typedef struct
+{
+  uv_write_t write;
+  char data[];
+} StreamWrite;
+
+static void
+stream_on_written (uv_write_t *write, int status)
+{
+  (void)status;
+  g_free (write->data);
+}
+
+void
+tou_stream_send (uv_stream_t *stream, const char *data, gsize len)
+{
+  uv_buf_t buf = uv_buf_init ((char *)data, (unsigned int)len);
+  int written = uv_try_write (stream, &buf, 1);
+  StreamWrite *rest;
+
+  if (written == (int)len)
+    return;
+  written = MAX (written, 0);
+  len -= (gsize)written;
+  rest = g_malloc (sizeof *rest + len);
+  memcpy (rest->data, data + written, len);
+  rest->write.data = rest;
+  buf = uv_buf_init (rest->data, (unsigned int)len);
+  if (uv_write (&rest->write, stream, &buf, 1, stream_on_written) != 0)
+    g_free (rest);
+}
+
+void
+tou_stream_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  static char buffer[STREAM_READ_BYTES];
+
+  (void)handle;
+  (void)suggested;
+  *buf = uv_buf_init (buffer, sizeof buffer);
+}
+
+int
+tou_stream_address (struct sockaddr_in *out, const TouName *address)
+{
+  char host[TOU_NAME_MAX + 1];
+  const char *colon = strrchr (address->data, ':');
+  guint64 port;
+
+  if (colon == NULL
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port,
+                                      NULL))
+    return tou_status_set (TOU_E_SETTING_INVALID, "\"%s\" is not ip:port",
+                           address->data);
+  g_strlcpy (host, address->data, (gsize)(colon - address->data) + 1);
+  if (uv_ip4_addr (host, (int)port, out) != 0)
+    return tou_status_set (TOU_E_SETTING_INVALID,
+                           "\"%s\" is not an IPv4 address", host);
+  return TOU_OK;
+}
+
+void
+tou_stream_tune (uv_tcp_t *tcp)
+{
+  uv_os_fd_t fd;
+  unsigned int timeout_ms = STREAM_USER_TIMEOUT_MS;
+
+  uv_tcp_nodelay (tcp, 1);
+  if (uv_fileno ((uv_handle_t *)tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                sizeof timeout_ms);
+}
--- /dev/null
+++ b/src/session/stream.h
@@ -0,0 +1,25 @@
+/**
+ * @file stream.h
+ * Small helpers for TCP streams and addresses on the event loop.
+ */
+#pragma once
+
+#include "toucanscale/types.h"
+
+#include <uv.h>
+
+G_BEGIN_DECLS
+
+/** Sends a copy of the bytes; a failure shows on the next read. */
+void tou_stream_send (uv_stream_t *stream, const char *data, gsize len);
+
+/** Shared read buffer: the loop reads one stream at a time. */
+void tou_stream_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf);
+
+/** Parses "ip:port". @return TOU_E_SETTING_INVALID with a message */
+int tou_stream_address (struct sockaddr_in *out, const TouName *address);
+
+/** Sets no-delay and a bound on unacknowledged data. */
+void tou_stream_tune (uv_tcp_t *tcp);
+
+G_END_DECLS
