Keep nodes that only hear each other from being removed and overruled

Nodes are now removed only by a holder that hears a majority, or after the others can no longer count each other's answers; a primary is suspected only on the word of a majority.

Second cause: after a loss of power the databases were full for 3 s with connections of the lost processes, because idle links were kept for 4 s and every database stood at its limit. Idle links now close after 0.5 s, and two may open at once. Ruled out: slow start (store read 10 ms after the process's start).

--- a/src/session/authority.c
+++ b/src/session/authority.c
@@ -121,3 +121,18 @@
   proved_us = authority_majority_us (authority, n_nodes);
   return now_us < proved_us + TOU_AUTHORITY_VALID_US;
 }
+
+gboolean
+tou_authority_may_remove_node (guint n_nodes, guint n_heard, guint64 silent_us)
+{
+  if (n_heard * 2 > n_nodes)
+    return silent_us >= TOU_AUTHORITY_REMOVE_US;
+  /* By then the silent nodes no longer use answers as proofs. */
+  return silent_us >= TOU_AUTHORITY_CONTACT_US + TOU_AUTHORITY_REMOVE_US;
+}
+
+gboolean
+tou_authority_nodes_count (guint n_nodes, guint n_heard, guint64 contact_us)
+{
+  return n_heard >= n_nodes || contact_us < TOU_AUTHORITY_CONTACT_US;
+}
--- a/src/session/authority.h
+++ b/src/session/authority.h
@@ -17,6 +17,17 @@
 /** Validity of a proof, in us: six heartbeats between nodes. */
 #define TOU_AUTHORITY_VALID_US (1500 * TOU_US_PER_MS)
 
+/**
+ * A node that hears a majority removes nodes that are silent for this long:
+ * the silent ones are a minority and prove nothing to each other.
+ */
+#define TOU_AUTHORITY_REMOVE_US (6 * TOU_US_PER_S)
+/**
+ * Without a majority, silent nodes may prove a primary to each other until
+ * their last contact with the store is this old.
+ */
+#define TOU_AUTHORITY_CONTACT_US (60 * TOU_US_PER_S)
+
 /** The store's record of a group. */
 typedef struct
 {
@@ -57,6 +68,23 @@
  */
 guint64 tou_authority_proved_us (const TouAuthority *authority, guint n_nodes);
 
+/**
+ * TRUE if a registered node may be removed from the registry.
+ *
+ * @param n_heard nodes heard from lately, the asking one included
+ * @param silent_us time for which the node was not heard from
+ */
+gboolean tou_authority_may_remove_node (guint n_nodes, guint n_heard,
+                                        guint64 silent_us);
+
+/**
+ * TRUE if answers of nodes count as proofs.
+ *
+ * @param contact_us age of the last contact with the store
+ */
+gboolean tou_authority_nodes_count (guint n_nodes, guint n_heard,
+                                    guint64 contact_us);
+
 /** TRUE if the record's primary may be used at @a now_us. */
 gboolean tou_authority_is_valid (const TouAuthority *authority, guint n_nodes,
                                  guint64 now_us);
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -31,9 +31,6 @@
 /* The store is asked for the records when other nodes have not proved them for
    this long; half the validity leaves time for a second try. */
 #define CONTROL_PROVE_US (TOU_AUTHORITY_VALID_US / 2)
-/* A node that nobody of the majority hears for this long has used up every
-   proof several times over, and is removed from the registry. */
-#define CONTROL_SILENT_NODE_US (6 * TOU_US_PER_S)
 /* Interval of status questions while a change is under way. */
 #define CONTROL_STATUS_US (50 * TOU_US_PER_MS)
 /* A former primary is told to step down this often. */
@@ -140,7 +137,9 @@
       = result != PLAT_STORE_REFUSED && result != PLAT_STORE_UNKNOWN;
 
   TOU_COUNT (control->proxy, STORE_CALLS);
-  if (!answered)
+  if (answered)
+    control->proxy->store_heard_us = tou_clock_us ();
+  else
     TOU_COUNT (control->proxy, STORE_FAILED);
   if (answered == control->connected)
     return;
@@ -632,19 +631,24 @@
   control->removing = FALSE;
 }
 
-/* Removes a node that nobody hears, so that changes don't wait for it. */
+/* Removes a silent node, so that changes don't wait for it. */
 static void
 control_remove_silent (TouControl *control, guint64 now_us)
 {
   const TouName *node;
   PlatStoreChange change = { 0 };
+  guint64 heard_us;
   char *key;
 
-  if (control->removing
-      || now_us < control->lead_since_us + CONTROL_SILENT_NODE_US)
+  if (control->removing)
     return;
-  node = tou_peers_silent (control->peers, now_us - CONTROL_SILENT_NODE_US);
-  if (node == NULL)
+  node = tou_peers_most_silent (control->peers, &heard_us);
+  heard_us = MAX (heard_us, control->lead_since_us);
+  if (node == NULL
+      || !tou_authority_may_remove_node (
+          control->proxy->n_nodes,
+          1 + tou_peers_reporting (control->peers, now_us),
+          now_us - MIN (heard_us, now_us)))
     return;
   tou_evlog (TOU_EVLOG_STATE, "node_removed", "\"peer\":\"%s\"", node->data);
   key = g_strconcat (CONTROL_NODE_PREFIX, node->data, NULL);
@@ -690,6 +694,7 @@
         out->primary_registered = FALSE;
       out->primary_draining = primary->info.draining;
     }
+  out->record_us = state->adopted_us;
   out->n_nodes = control->proxy->n_nodes;
   out->n_reporting = 1 + tou_peers_reporting (control->peers, now_us);
   out->n_suspecting = (primary != NULL && primary->silent_us != 0)
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -11,6 +11,8 @@
 #define HANDOVER_RETRY_US (200 * TOU_US_PER_MS)
 /* Pause before a rejected candidate is tried again. */
 #define HANDOVER_REJECTED_US (1000 * TOU_US_PER_MS)
+/* A new primary is busy for a moment; it is not suspected before. */
+#define HANDOVER_HOLD_US (1000 * TOU_US_PER_MS)
 
 typedef enum
 {
@@ -150,13 +152,15 @@
 }
 
 static const char *
-handover_reason (const TouHandoverView *view)
+handover_reason (const TouHandoverView *view, guint64 now_us)
 {
   if (!view->primary_registered)
     return "primary is gone";
   if (view->primary_draining)
     return "primary is leaving";
-  if (view->n_suspecting > 0 && view->n_suspecting * 2 >= view->n_reporting)
+  if (view->n_suspecting > 0 && view->n_suspecting * 2 >= view->n_reporting
+      && view->n_reporting * 2 > view->n_nodes
+      && now_us >= view->record_us + HANDOVER_HOLD_US)
     return "primary does not answer";
   return NULL;
 }
@@ -165,7 +169,7 @@
 handover_idle (TouHandover *handover, const TouHandoverView *view,
                guint64 now_us, TouHandoverAction *out)
 {
-  const char *reason = handover_reason (view);
+  const char *reason = handover_reason (view, now_us);
   TouGroupRecord record = view->record;
 
   if (view->record.revision == 0)
@@ -192,14 +196,14 @@
    named; after that the promotion may already be ordered. */
 static gboolean
 handover_take_back (TouHandover *handover, const TouHandoverView *view,
-                    TouHandoverAction *out)
+                    guint64 now_us, TouHandoverAction *out)
 {
   const TouHandoverEndpoint *primary
       = handover_endpoint (view, &view->record.primary);
   TouGroupRecord record = view->record;
 
   if (view->record.candidate.len > 0 || handover->step_down_asked
-      || handover_reason (view) != NULL
+      || handover_reason (view, now_us) != NULL
       || !handover_leads (primary, view->record.term)
       || primary->status_us < handover->announced_us)
     return FALSE;
@@ -216,7 +220,7 @@
   const TouHandoverEndpoint *primary
       = handover_endpoint (view, &view->record.primary);
 
-  if (handover_take_back (handover, view, out))
+  if (handover_take_back (handover, view, now_us, out))
     return;
   if (view->n_acknowledged * 2 <= view->n_nodes)
     {
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -12,8 +12,12 @@
 /* Time for a connection and its first answer: 12 ms of a slot and two region
    round trips, behind a full queue of 24 statements of 30 ms on 3 slots. */
 #define LINK_OPEN_TIMEOUT_US (600 * TOU_US_PER_MS)
-/* An idle link is closed after this time; the last one of an endpoint stays. */
-#define LINK_IDLE_US (4 * TOU_US_PER_S)
+/* An idle link is closed after this time, because another node may need the
+   connection; the last one of an endpoint stays. */
+#define LINK_IDLE_US (500 * TOU_US_PER_MS)
+/* Links of one endpoint that open at the same time: one that opens may serve
+   several waiting statements, and each takes a slot for 12 ms. */
+#define LINK_MAX_OPENING 2
 /* Largest answer that is kept, in bytes. */
 #define LINK_MAX_ANSWER ((gsize)4 * PLAT_WIRE_MAX_MESSAGE)
 
@@ -512,18 +516,19 @@
 void
 tou_endpoint_want_link (TouEndpoint *endpoint, guint64 now_us)
 {
+  guint n_opening = 0;
+
   if (now_us < endpoint->open_after_us || endpoint->gone
       || endpoint->links->len >= tou_endpoint_link_limit (endpoint))
     return;
-  /* One at a time: an opening link may serve several waiting statements. */
   for (guint i = 0; i < endpoint->links->len; i++)
     {
       const TouLink *link = g_ptr_array_index (endpoint->links, i);
 
-      if (link->state != LINK_READY)
-        return;
+      n_opening += link->state != LINK_READY;
     }
-  endpoint_open_link (endpoint, now_us);
+  if (n_opening < LINK_MAX_OPENING)
+    endpoint_open_link (endpoint, now_us);
 }
 
 static gboolean
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -186,7 +186,7 @@
 
 static gboolean
 peers_on_group (TouPeers *peers, Peer *peer, const msgpack_object *object,
-                guint64 echo_us)
+                guint64 echo_us, gboolean counts)
 {
   const msgpack_object *fields = object->via.array.ptr;
   TouGroupRecord record = { 0 };
@@ -220,7 +220,7 @@
   said->quiet_revision = quiet != 0 ? record.revision : 0;
   if (record.revision != 0)
     tou_group_adopt (group, &record, peer->node.data);
-  if (record.revision != 0 && echo_us != 0)
+  if (record.revision != 0 && echo_us != 0 && counts)
     tou_authority_prove_by_node (group->authority, &peer->node, record.revision,
                                  echo_us);
   return TRUE;
@@ -236,6 +236,7 @@
   guint64 incarnation;
   guint64 sent_us;
   guint64 echo_us;
+  gboolean counts;
 
   if (object->type != MSGPACK_OBJECT_ARRAY
       || object->via.array.size != PEERS_FIELDS
@@ -260,8 +261,12 @@
   peer->echo_us = MAX (peer->echo_us, sent_us);
   if (echo_us > peer->heard_us)
     echo_us = 0;
+  counts = tou_authority_nodes_count (
+      peers->proxy->n_nodes, 1 + tou_peers_reporting (peers, peer->heard_us),
+      peer->heard_us - MIN (peers->proxy->store_heard_us, peer->heard_us));
   for (guint i = 0; i < fields[5].via.array.size; i++)
-    if (!peers_on_group (peers, peer, &fields[5].via.array.ptr[i], echo_us))
+    if (!peers_on_group (peers, peer, &fields[5].via.array.ptr[i], echo_us,
+                         counts))
       return FALSE;
   return TRUE;
 }
@@ -361,16 +366,24 @@
 }
 
 const TouName *
-tou_peers_silent (const TouPeers *peers, guint64 before_us)
+tou_peers_most_silent (const TouPeers *peers, guint64 *heard_us)
 {
   GHashTableIter iter;
   gpointer value;
+  const TouName *node = NULL;
 
+  *heard_us = G_MAXUINT64;
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((Peer *)value)->heard_us < before_us)
-      return &((Peer *)value)->node;
-  return NULL;
+    {
+      const Peer *peer = value;
+
+      if (peer->heard_us >= *heard_us)
+        continue;
+      *heard_us = peer->heard_us;
+      node = &peer->node;
+    }
+  return node;
 }
 
 int
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -31,7 +31,12 @@
 /** Nodes that no longer use the primary of the record @a revision. */
 guint tou_peers_quiet (const TouPeers *peers, const TouGroup *group,
                        guint64 revision);
-/** A node not heard from since @a before_us, or NULL. */
-const TouName *tou_peers_silent (const TouPeers *peers, guint64 before_us);
+/**
+ * The node that was not heard from for the longest time, or NULL.
+ *
+ * @param heard_us set to the time when it was heard from
+ */
+const TouName *tou_peers_most_silent (const TouPeers *peers,
+                                      guint64 *heard_us);
 
 G_END_DECLS
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -27,6 +27,9 @@
 /* A leaving endpoint is no longer used this long before the limit. */
 #define PROXY_LEAVING_MARGIN_US TOU_US_PER_S
 
+/* Interval of the lines with a group's load. */
+#define PROXY_LOAD_LOG_US (1000 * TOU_US_PER_MS)
+
 static const guint proxy_floors[TOU_RANK_COUNT]
     = { 0, PROXY_REVIEW_FLOOR, PROXY_STATUS_FLOOR };
 
@@ -305,6 +308,35 @@
   tou_endpoint_ask_status (primary, now_us);
 }
 
+/* A line with the load of a group, for the way from a refusal to its cause. */
+static void
+group_log_load (TouGroup *group, guint64 now_us)
+{
+  GString *text;
+
+  if (now_us < group->logged_us + PROXY_LOAD_LOG_US || group->endpoints->len == 0)
+    return;
+  group->logged_us = now_us;
+  text = g_string_new (NULL);
+  for (guint i = 0; i < group->endpoints->len; i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      g_string_append_printf (text, "%s\"%s\":\"%u/%u/%u %" G_GUINT64_FORMAT
+                              "us\"",
+                              i > 0 ? "," : "", endpoint->info.id.data,
+                              endpoint->n_busy,
+                              tou_endpoint_writes_in_flight (endpoint),
+                              endpoint->links->len, endpoint->latency_us);
+    }
+  tou_evlog (TOU_EVLOG_STATE, "load",
+             "\"group\":\"%s\",\"waiting_writes\":%u,\"waiting_reads\":%u,"
+             "\"busy_pinned_links\":{%s}",
+             group->name.data, tou_queue_length (group->writes),
+             tou_queue_length (group->reads), text->str);
+  g_string_free (text, TRUE);
+}
+
 static void
 group_tick (TouGroup *group, guint64 now_us)
 {
@@ -329,6 +361,7 @@
   group_configure (group);
   tou_dispatch_group (group);
   tou_dispatch_expire (group, now_us);
+  group_log_load (group, now_us);
 }
 
 /* A database that is missing for longer than its entry needs to come back is
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -69,6 +69,7 @@
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
   guint n_nodes;         /**< registered nodes, this one included */
+  guint64 store_heard_us; /**< last answer of the store */
   gboolean synced;       /**< the store has been read since the start */
   gboolean draining;     /**< the stop signal has been received */
   guint64 close_idle_us; /**< draining: sessions at rest are closed from then */
@@ -92,6 +93,7 @@
   TouQueue *writes;     /**< statements that need the primary */
   TouQueue *reads;      /**< statements that a replica may run */
   gboolean dispatching;
+  guint64 logged_us; /**< last line with its load */
   TouName old_primary;     /**< while a change is under way */
   guint64 finish_until_us; /**< its open transactions may end until then */
   guint64 no_primary_us;   /**< since when none may be used; 0: one may */
