--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -238,10 +238,9 @@
     }
 }
 
-TouQueueItem *
-tou_queue_pop (TouQueue *queue, gboolean connection)
+static TouQueueItem *
+queue_take (TouQueue *queue, TouQueueItem *item)
 {
-  TouQueueItem *item = queue_choose (queue, connection);
   TouQueueRank *rank;
 
   if (item == NULL)
@@ -253,6 +252,18 @@
   return item;
 }
 
+TouQueueItem *
+tou_queue_pop (TouQueue *queue, gboolean connection)
+{
+  return queue_take (queue, queue_choose (queue, connection));
+}
+
+TouQueueItem *
+tou_queue_pop_rank (TouQueue *queue, TouRank rank)
+{
+  return queue_take (queue, queue_head (&queue->ranks[rank], TRUE));
+}
+
 TouQueueItem *
 tou_queue_pop_expired (TouQueue *queue, guint64 now_us)
 {
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -64,6 +64,9 @@
  */
 TouQueueItem *tou_queue_pop (TouQueue *queue, gboolean connection);
 
+/** Takes the next item of @a rank, or returns NULL. */
+TouQueueItem *tou_queue_pop_rank (TouQueue *queue, TouRank rank);
+
 /** TRUE if @a item, dispatched at @a now_us, is answered in time. */
 gboolean tou_queue_is_in_time (const TouQueue *queue, const TouQueueItem *item,
                                guint64 now_us);
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -325,6 +325,8 @@
 
   if (result->error == TOU_SQL_E_LAGGING)
     tou_dispatch_lacked (endpoint, request->after, tou_clock_us ());
+  if (result->error == TOU_SQL_E_BUSY)
+    tou_window_refused (&endpoint->window, tou_clock_us ());
   /* Outside a transaction nothing else depends on where it runs. */
   if (client->state == TOU_SQL_STATE_IDLE
       && (not_run || !request->task.may_commit)
@@ -400,6 +402,8 @@
   if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
     {
       endpoint_measure (endpoint, now_us - task->sent_us);
+      tou_window_answered (&endpoint->window, now_us - task->sent_us,
+                           group->target_us, endpoint->info.slots, now_us);
       tou_queue_measure (request->needs_primary ? group->writes : group->reads,
                          client->route.rank, now_us - task->sent_us);
       if (result->pos.term != 0)
@@ -435,8 +439,8 @@
   tou_dispatch_group (group);
 }
 
-void
-tou_client_run (TouClient *client, TouLink *link)
+static void
+client_run (TouClient *client, TouLink *link)
 {
   TouClientRequest *request = &client->request;
   TouEndpoint *endpoint = tou_link_endpoint (link);
@@ -462,6 +466,13 @@
   tou_link_run (link, &request->task);
 }
 
+void
+tou_client_start (TouClient *client, TouEndpoint *endpoint)
+{
+  client->request.task.values = &client->values;
+  client_run (client, tou_endpoint_idle_link (endpoint, &client->request.task));
+}
+
 /* Takes over the route in force; a transaction keeps the one it began with. */
 static gboolean
 client_take_route (TouClient *client)
@@ -487,7 +498,7 @@
   if (client->read_only
       || tou_group_may_write (endpoint->group, endpoint, tou_clock_us ()))
     {
-      tou_client_run (client, client->link);
+      client_run (client, client->link);
       return;
     }
   if (client->request.commit)
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -54,8 +54,8 @@
 /** Takes over an accepted connection. */
 void tou_client_accept (TouProxy *proxy, uv_stream_t *server);
 
-/** Runs the client's queued statement on @a link. */
-void tou_client_run (TouClient *client, TouLink *link);
+/** Runs the client's queued statement on an idle link of @a endpoint. */
+void tou_client_start (TouClient *client, TouEndpoint *endpoint);
 
 /** Refuses the client's statement, which has not run. */
 void tou_client_refuse (TouClient *client, TouSqlError code,
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -9,17 +9,6 @@
 /* Reads go to the primary only if it answers this many times faster than a
    replica: its slots are the only ones for writes. */
 #define DISPATCH_PRIMARY_FACTOR 2
-/* Statements outside transactions that one node keeps in flight at a database,
-   beyond its slots: one on its way there, one on its way back. */
-#define DISPATCH_EXTRA_IN_FLIGHT 2
-
-/* Statements in flight outside of transactions. */
-static gboolean
-dispatch_has_room (const TouEndpoint *endpoint)
-{
-  return endpoint->n_busy < endpoint->info.slots + DISPATCH_EXTRA_IN_FLIGHT;
-}
-
 static guint64
 dispatch_cost_us (const TouEndpoint *endpoint)
 {
@@ -57,7 +46,7 @@
 /* @a request NULL: any read that a replica may serve. */
 static void
 dispatch_choose (TouGroup *group, const TouClientRequest *request,
-                 const TouEndpoint *primary, guint64 now_us,
+                 const TouEndpoint *primary, gboolean urgent, guint64 now_us,
                  DispatchChoice *out)
 {
   guint64 idle_cost_us = G_MAXUINT64;
@@ -79,14 +68,15 @@
       if (endpoint == primary)
         cost_us *= DISPATCH_PRIMARY_FACTOR;
       out->n_possible++;
-      if (!dispatch_has_room (endpoint))
+      if (!tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent))
         continue;
       if (cost_us < any_cost_us)
         {
           any_cost_us = cost_us;
           out->any = endpoint;
         }
-      if (cost_us < idle_cost_us && tou_endpoint_idle_link (endpoint) != NULL)
+      if (cost_us < idle_cost_us
+          && tou_endpoint_idle_link (endpoint, NULL) != NULL)
         {
           idle_cost_us = cost_us;
           out->idle = endpoint;
@@ -94,26 +84,40 @@
     }
 }
 
+/* Takes the next statement; when the window is full, only an urgent one. */
+static TouQueueItem *
+dispatch_pop (TouQueue *queue, gboolean urgent)
+{
+  return urgent ? tou_queue_pop_rank (queue, TOU_RANK_URGENT)
+                : tou_queue_pop (queue, TRUE);
+}
+
 static void
 dispatch_writes (TouGroup *group, guint64 now_us)
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
-  TouQueueItem *item;
 
   if (primary == NULL || primary->silent_us != 0)
     return;
   while (tou_queue_length (group->writes) > 0)
     {
-      TouLink *link = tou_endpoint_idle_link (primary);
-
+      gboolean urgent
+          = !tou_window_has_room (&primary->window, primary->n_busy, FALSE);
+      TouLink *link = tou_endpoint_idle_link (primary, NULL);
+      TouQueueItem *item;
+
+      if (urgent
+          && !tou_window_has_room (&primary->window, primary->n_busy, TRUE))
+        return;
       if (link == NULL)
         {
-          if (dispatch_has_room (primary))
-            tou_endpoint_want_link (primary, now_us);
+          tou_endpoint_want_link (primary, now_us);
           return;
         }
-      item = tou_queue_pop (group->writes, TRUE);
-      tou_client_run (tou_client_of_item (item), link);
+      item = dispatch_pop (group->writes, urgent);
+      if (item == NULL)
+        return;
+      tou_client_start (tou_client_of_item (item), primary);
     }
 }
 
@@ -142,17 +146,28 @@
   while (tou_queue_length (group->reads) > 0)
     {
       TouClient *client;
+      TouQueueItem *item;
+      gboolean urgent = FALSE;
 
-      dispatch_choose (group, NULL, primary, now_us, &choice);
+      dispatch_choose (group, NULL, primary, FALSE, now_us, &choice);
+      if (choice.any == NULL)
+        {
+          urgent = TRUE;
+          dispatch_choose (group, NULL, primary, TRUE, now_us, &choice);
+        }
       if (choice.any != NULL && choice.any != choice.idle)
         tou_endpoint_want_link (choice.any, now_us);
       if (choice.idle == NULL)
         break;
-      client = tou_client_of_item (tou_queue_pop (group->reads, TRUE));
-      dispatch_choose (group, &client->request, primary, now_us, &choice);
+      item = dispatch_pop (group->reads, urgent);
+      if (item == NULL)
+        break;
+      client = tou_client_of_item (item);
+      dispatch_choose (group, &client->request, primary, urgent, now_us,
+                       &choice);
       if (choice.idle != NULL)
         {
-          tou_client_run (client, tou_endpoint_idle_link (choice.idle));
+          tou_client_start (client, choice.idle);
           continue;
         }
       if (deferred == NULL)
--- /dev/null
+++ b/src/session/endpoint.c
@@ -0,0 +1,282 @@
+#include "link-private.h"
+
+#include "dispatch.h"
+
+#include "wire.h"
+
+#include <string.h>
+
+/* An idle link is closed after this time, because another node may need the
+   connection; the last one of an endpoint stays. */
+#define LINK_IDLE_US (500 * TOU_US_PER_MS)
+/* Links of one endpoint that open at the same time: one that opens may serve
+   several waiting statements, and each takes a slot for 12 ms. */
+#define LINK_MAX_OPENING 2
+/* Longest wait for the answer to a question of the proxy's own. */
+#define ENDPOINT_PROBE_US (600 * TOU_US_PER_MS)
+/* Silence is checked against the oldest statement under way. */
+#define ENDPOINT_SILENT_US (500 * TOU_US_PER_MS)
+/* A silent endpoint is tried again this often. */
+#define ENDPOINT_RETRY_US (250 * TOU_US_PER_MS)
+
+void
+tou_endpoint_heard (TouEndpoint *endpoint, guint64 now_us)
+{
+  if (endpoint->silent_us != 0)
+    tou_evlog (TOU_EVLOG_STATE, "endpoint_answers",
+               "\"endpoint\":\"%s\",\"silent_ms\":%" G_GUINT64_FORMAT,
+               endpoint->info.id.data,
+               (now_us - endpoint->silent_us) / TOU_US_PER_MS);
+  endpoint->silent_us = 0;
+  endpoint->heard_us = now_us;
+}
+
+void
+tou_endpoint_silent (TouEndpoint *endpoint, const char *reason, guint64 now_us)
+{
+  if (endpoint->silent_us != 0)
+    return;
+  endpoint->silent_us = now_us;
+  tou_evlog (TOU_EVLOG_STATE, "endpoint_silent",
+             "\"endpoint\":\"%s\",\"group\":\"%s\",\"reason\":\"%s\","
+             "\"heard_ms_ago\":%" G_GUINT64_FORMAT,
+             endpoint->info.id.data, endpoint->group->name.data, reason,
+             (now_us - endpoint->heard_us) / TOU_US_PER_MS);
+}
+
+guint
+tou_endpoint_link_limit (const TouEndpoint *endpoint)
+{
+  guint limit = endpoint->group->limits.connection_limit;
+
+  /* Half of the database's connections: load is spread unevenly over the
+     nodes, and one that is refused waits for an idle link to be closed. */
+  return MAX (limit / 2, 2);
+}
+
+void
+tou_endpoint_want_link (TouEndpoint *endpoint, guint64 now_us)
+{
+  guint n_opening = 0;
+
+  if (now_us < endpoint->open_after_us || endpoint->gone
+      || endpoint->links->len >= tou_endpoint_link_limit (endpoint))
+    return;
+  for (guint i = 0; i < endpoint->links->len; i++)
+    {
+      const TouLink *link = g_ptr_array_index (endpoint->links, i);
+
+      n_opening += link->state != LINK_READY;
+    }
+  if (n_opening < LINK_MAX_OPENING)
+    tou_link_open (endpoint, now_us);
+}
+
+TouLink *
+tou_endpoint_idle_link (const TouEndpoint *endpoint, const TouTask *task)
+{
+  TouLink *best = NULL;
+  guint best_fit = 0;
+
+  for (guint i = 0; i < endpoint->links->len; i++)
+    {
+      TouLink *link = g_ptr_array_index (endpoint->links, i);
+      guint fit;
+
+      if (!tou_link_is_idle (link))
+        continue;
+      fit = tou_link_fit (link, task);
+      if (best != NULL && fit <= best_fit)
+        continue;
+      best = link;
+      best_fit = fit;
+    }
+  return best;
+}
+
+guint
+tou_endpoint_writes_in_flight (const TouEndpoint *endpoint)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < endpoint->links->len; i++)
+    {
+      const TouLink *link = g_ptr_array_index (endpoint->links, i);
+
+      if (link->client != NULL
+          || (link->task != NULL && link->task->may_commit))
+        count++;
+    }
+  return count;
+}
+
+gboolean
+tou_endpoint_is_usable (const TouEndpoint *endpoint)
+{
+  return !endpoint->gone && !endpoint->info.draining
+         && endpoint->silent_us == 0;
+}
+
+void
+tou_endpoint_tick (TouEndpoint *endpoint, guint64 now_us)
+{
+  guint64 oldest_us = G_MAXUINT64;
+
+  for (guint i = endpoint->links->len; i-- > 0;)
+    {
+      TouLink *link;
+      const char *reason;
+
+      /* Closing a link may close others. */
+      if (i >= endpoint->links->len)
+        continue;
+      link = g_ptr_array_index (endpoint->links, i);
+      reason = tou_link_late (link, now_us);
+      if (!tou_link_is_idle (link))
+        oldest_us = MIN (oldest_us, link->client != NULL && link->task == NULL
+                                        ? G_MAXUINT64
+                                        : link->since_us);
+      if (reason != NULL)
+        {
+          if (link->state != LINK_READY)
+            tou_endpoint_silent (endpoint, reason, now_us);
+          tou_link_close (link, reason);
+        }
+      else if (tou_link_is_idle (link) && endpoint->links->len > 1
+               && now_us >= link->since_us + LINK_IDLE_US)
+        tou_link_close (link, NULL);
+    }
+  if (oldest_us != G_MAXUINT64
+      && now_us >= MAX (oldest_us, endpoint->heard_us) + ENDPOINT_SILENT_US)
+    tou_endpoint_silent (endpoint, "statement without answer", now_us);
+  if (endpoint->silent_us != 0 && now_us >= endpoint->open_after_us)
+    {
+      endpoint->open_after_us = now_us + ENDPOINT_RETRY_US;
+      if (!endpoint->gone
+          && endpoint->links->len < tou_endpoint_link_limit (endpoint))
+        tou_link_open (endpoint, now_us);
+    }
+  else if (endpoint->links->len == 0)
+    tou_endpoint_want_link (endpoint, now_us);
+}
+
+static void
+endpoint_on_probe (TouTask *task, TouLink *link, const TouTaskResult *result)
+{
+  TouEndpoint *endpoint
+      = (TouEndpoint *)((char *)task - G_STRUCT_OFFSET (TouEndpoint, probe));
+  TouSqlStatus status;
+
+  (void)link;
+  endpoint->probing = FALSE;
+  if (result->outcome != TOU_TASK_ANSWERED || !result->complete
+      || plat_wire_status (&status, result->row) != TOU_OK)
+    return;
+  if (status.role != endpoint->status.role
+      || status.term != endpoint->status.term)
+    tou_evlog (TOU_EVLOG_STATE, "endpoint_role",
+               "\"endpoint\":\"%s\",\"group\":\"%s\",\"role\":\"%s\","
+               "\"term\":%" G_GUINT64_FORMAT ",\"position\":%" G_GUINT64_FORMAT,
+               endpoint->info.id.data, endpoint->group->name.data,
+               status.role == TOU_ROLE_PRIMARY ? "primary" : "replica",
+               status.term, status.received.position);
+  endpoint->status = status;
+  endpoint->status_us = task->sent_us;
+  tou_group_sample (endpoint->group, endpoint, task->sent_us, result->pos);
+  tou_dispatch_group (endpoint->group);
+}
+
+/* Takes the statement's text off @a message, which it frees. */
+static void
+endpoint_probe (TouEndpoint *endpoint, GString *message, guint64 now_us)
+{
+  TouLink *link = tou_endpoint_idle_link (endpoint, NULL);
+
+  if (endpoint->probing || link == NULL)
+    {
+      if (link == NULL)
+        tou_endpoint_want_link (endpoint, now_us);
+      g_string_free (message, TRUE);
+      return;
+    }
+  endpoint->probing = TRUE;
+  memset (&endpoint->probe, 0, sizeof endpoint->probe);
+  endpoint->probe.done = endpoint_on_probe;
+  endpoint->probe.deadline_us = now_us + ENDPOINT_PROBE_US;
+  endpoint->probe.text.data = message->str;
+  endpoint->probe.text.len = message->len;
+  tou_link_run (link, &endpoint->probe);
+  g_string_free (message, TRUE);
+}
+
+void
+tou_endpoint_ask_status (TouEndpoint *endpoint, guint64 now_us)
+{
+  endpoint->status_asked_us = now_us;
+  endpoint_probe (endpoint, g_string_new (PLAT_WIRE_STATUS_TEXT), now_us);
+}
+
+void
+tou_endpoint_step_down (TouEndpoint *endpoint, guint64 term, guint64 now_us)
+{
+  GString *message = g_string_new (NULL);
+
+  plat_wire_put_step_down_text (message, term);
+  endpoint_probe (endpoint, message, now_us);
+}
+
+TouEndpoint *
+tou_endpoint_create (TouProxy *proxy, const TouEndpointInfo *info)
+{
+  TouEndpoint *endpoint = g_new0 (TouEndpoint, 1);
+
+  endpoint->proxy = proxy;
+  endpoint->group = tou_group_get (proxy, &info->group);
+  endpoint->info = *info;
+  endpoint->links = g_ptr_array_new ();
+  tou_window_init (&endpoint->window, info->slots);
+  if (info->draining)
+    endpoint->leaving_since_us = tou_clock_us ();
+  g_ptr_array_add (endpoint->group->endpoints, endpoint);
+  return endpoint;
+}
+
+static void
+endpoint_close_links (TouEndpoint *endpoint, const char *reason)
+{
+  while (endpoint->links->len > 0)
+    tou_link_close (g_ptr_array_index (endpoint->links, 0), reason);
+}
+
+void
+tou_endpoint_update (TouEndpoint *endpoint, const TouEndpointInfo *info)
+{
+  gboolean reborn
+      = !tou_name_equal (&endpoint->info.address, &info->address)
+        || (info->born_ms != 0 && endpoint->info.born_ms != info->born_ms);
+
+  endpoint->info = *info;
+  endpoint->gone = FALSE;
+  endpoint->missing_since_us = 0;
+  if (!info->draining)
+    endpoint->leaving_since_us = 0;
+  else if (endpoint->leaving_since_us == 0)
+    endpoint->leaving_since_us = tou_clock_us ();
+  if (!reborn)
+    return;
+  memset (&endpoint->status, 0, sizeof endpoint->status);
+  endpoint->status_us = 0;
+  endpoint->open_after_us = 0;
+  endpoint->silent_us = 0;
+  endpoint_close_links (endpoint, "database started anew");
+}
+
+void
+tou_endpoint_destroy (TouEndpoint *endpoint)
+{
+  endpoint->gone = TRUE;
+  endpoint_close_links (endpoint, NULL);
+  g_ptr_array_remove_fast (endpoint->group->endpoints, endpoint);
+  g_ptr_array_unref (endpoint->links);
+  g_free (endpoint);
+}
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -30,7 +30,7 @@
   TouGroupRecord record;
   gboolean primary_registered; /**< in the registry, or missing for a moment */
   gboolean primary_draining;
-  guint64 record_us; /**< since when the record is known */
+  guint64 record_us;    /**< since when the record is known */
   guint n_nodes;        /**< registered nodes, this one included */
   guint n_reporting;    /**< nodes heard from lately, this one included */
   guint n_suspecting;   /**< of these, nodes that cannot reach the primary */
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "proxy.h"
+#include "window.h"
 
 G_BEGIN_DECLS
 
@@ -65,12 +66,13 @@
   guint64 leaving_since_us; /**< draining or missing; 0: neither */
   GPtrArray *links;         /**< of TouLink */
   guint n_busy;             /**< links with a task */
-  guint64 latency_us;       /**< moving average of a statement's answer */
-  guint64 heard_us;         /**< last bytes received */
-  guint64 open_after_us;    /**< no new link before */
-  guint64 silent_us;        /**< since when it does not answer; 0: it does */
-  TouLogPos known;          /**< newest position that it has shown */
-  TouLogPos lacked;         /**< position that it lacked lately */
+  TouWindow window;
+  guint64 latency_us;    /**< moving average of a statement's answer */
+  guint64 heard_us;      /**< last bytes received */
+  guint64 open_after_us; /**< no new link before */
+  guint64 silent_us;     /**< since when it does not answer; 0: it does */
+  TouLogPos known;       /**< newest position that it has shown */
+  TouLogPos lacked;      /**< position that it lacked lately */
   guint64 lacked_until_us;
   guint64 lacked_pause_us;
   TouSqlStatus status; /**< last one reported */
@@ -95,8 +97,9 @@
 /** Transactions and writes under way on its links. */
 guint tou_endpoint_writes_in_flight (const TouEndpoint *endpoint);
 
-/** Returns an idle link, or NULL. */
-TouLink *tou_endpoint_idle_link (const TouEndpoint *endpoint);
+/** Returns the idle link that fits @a task best (NULL: any), or NULL. */
+TouLink *tou_endpoint_idle_link (const TouEndpoint *endpoint,
+                                 const TouTask *task);
 
 /** Opens another link unless a limit, a pause or an opening link forbids it. */
 void tou_endpoint_want_link (TouEndpoint *endpoint, guint64 now_us);
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -36,7 +36,6 @@
  *
  * @param heard_us set to the time when it was heard from
  */
-const TouName *tou_peers_most_silent (const TouPeers *peers,
-                                      guint64 *heard_us);
+const TouName *tou_peers_most_silent (const TouPeers *peers, guint64 *heard_us);
 
 G_END_DECLS
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -27,9 +27,25 @@
 /* A leaving endpoint is no longer used this long before the limit. */
 #define PROXY_LEAVING_MARGIN_US TOU_US_PER_S
 
+/* A database may hold a statement for this part of the strictest objective:
+   an operation has several statements and round trips. */
+#define PROXY_TARGET_SHARE 5
 /* Interval of the lines with a group's load. */
 #define PROXY_LOAD_LOG_US (1000 * TOU_US_PER_MS)
 
+/* Interval of the lines with all counters. */
+#define PROXY_TOTALS_LOG_US (5 * TOU_US_PER_S)
+
+static const struct
+{
+  const char *name;
+  const char *help;
+} proxy_counters[] = {
+#define PROXY_COUNTER(name, exported, help) { exported, help },
+  TOU_SESSION_COUNTERS (PROXY_COUNTER)
+#undef PROXY_COUNTER
+};
+
 static const guint proxy_floors[TOU_RANK_COUNT]
     = { 0, PROXY_REVIEW_FLOOR, PROXY_STATUS_FLOOR };
 
@@ -124,7 +140,9 @@
   if (now_us >= group->finish_until_us)
     return TRUE;
   primary = tou_group_recorded_primary (group);
-  return primary == NULL || tou_endpoint_writes_in_flight (primary) == 0;
+  /* Nothing ends at a primary that does not answer. */
+  return primary == NULL || primary->silent_us != 0
+         || tou_endpoint_writes_in_flight (primary) == 0;
 }
 
 void
@@ -185,6 +203,24 @@
   tou_queue_configure (group->reads, MAX (reads, 1), proxy_floors);
 }
 
+/* The strictest objective of a group's routes decides. */
+static void
+proxy_set_targets (TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->routing->routes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const TouRoute *route = value;
+      TouGroup *group = tou_group_get (proxy, &route->group);
+
+      group->target_us
+          = MIN (group->target_us, route->target_us / PROXY_TARGET_SHARE);
+    }
+}
+
 void
 tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing)
 {
@@ -210,7 +246,9 @@
       const TouGroupLimits *given = limits;
 
       tou_group_get (proxy, &given->name)->limits = *given;
+      tou_group_get (proxy, &given->name)->target_us = G_MAXUINT64;
     }
+  proxy_set_targets (proxy);
 }
 
 gboolean
@@ -314,7 +352,8 @@
 {
   GString *text;
 
-  if (now_us < group->logged_us + PROXY_LOAD_LOG_US || group->endpoints->len == 0)
+  if (now_us < group->logged_us + PROXY_LOAD_LOG_US
+      || group->endpoints->len == 0)
     return;
   group->logged_us = now_us;
   text = g_string_new (NULL);
@@ -322,12 +361,11 @@
     {
       const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
 
-      g_string_append_printf (text, "%s\"%s\":\"%u/%u/%u %" G_GUINT64_FORMAT
-                              "us\"",
-                              i > 0 ? "," : "", endpoint->info.id.data,
-                              endpoint->n_busy,
-                              tou_endpoint_writes_in_flight (endpoint),
-                              endpoint->links->len, endpoint->latency_us);
+      g_string_append_printf (
+          text, "%s\"%s\":\"%u/%u/%u w%.1f %" G_GUINT64_FORMAT "us\"",
+          i > 0 ? "," : "", endpoint->info.id.data, endpoint->n_busy,
+          tou_endpoint_writes_in_flight (endpoint), endpoint->links->len,
+          endpoint->window.size, endpoint->latency_us);
     }
   tou_evlog (TOU_EVLOG_STATE, "load",
              "\"group\":\"%s\",\"waiting_writes\":%u,\"waiting_reads\":%u,"
@@ -364,6 +402,25 @@
   group_log_load (group, now_us);
 }
 
+/* Totals since the start; their differences show a rate. */
+static void
+proxy_log_totals (TouProxy *proxy, guint64 now_us)
+{
+  GString *text;
+
+  if (now_us < proxy->totals_us + PROXY_TOTALS_LOG_US)
+    return;
+  proxy->totals_us = now_us;
+  text = g_string_new (NULL);
+  for (guint i = 0; i < TOU_COUNT_N; i++)
+    g_string_append_printf (text, "%s\"%s\":%" G_GUINT64_FORMAT,
+                            i > 0 ? "," : "", proxy_counters[i].name,
+                            proxy->counters[i]);
+  tou_evlog (TOU_EVLOG_STATE, "totals", "\"sessions\":%u,%s",
+             proxy->clients.length, text->str);
+  g_string_free (text, TRUE);
+}
+
 /* A database that is missing for longer than its entry needs to come back is
    no longer used. */
 static void
@@ -395,6 +452,7 @@
   g_hash_table_iter_init (&iter, proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     group_tick (value, now_us);
+  proxy_log_totals (proxy, now_us);
   for (GList *node = proxy->clients.head; node != NULL; node = next)
     {
       next = node->next;
@@ -413,23 +471,14 @@
 char *
 tou_proxy_metrics (TouProxy *proxy)
 {
-  static const struct
-  {
-    const char *name;
-    const char *help;
-  } counters[] = {
-#define PROXY_COUNTER(name, exported, help) { exported, help },
-    TOU_SESSION_COUNTERS (PROXY_COUNTER)
-#undef PROXY_COUNTER
-  };
   GString *out = g_string_new (NULL);
 
   for (guint i = 0; i < TOU_COUNT_N; i++)
     g_string_append_printf (out,
                             "# HELP toucanscale_%s %s\n# TYPE toucanscale_%s "
                             "counter\ntoucanscale_%s %" G_GUINT64_FORMAT "\n",
-                            counters[i].name, counters[i].help,
-                            counters[i].name, counters[i].name,
+                            proxy_counters[i].name, proxy_counters[i].help,
+                            proxy_counters[i].name, proxy_counters[i].name,
                             proxy->counters[i]);
   g_string_append (out, "# TYPE toucanscale_latency_ms histogram\n");
   for (guint rank = 0; rank < TOU_RANK_COUNT; rank++)
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -40,7 +40,10 @@
   X (LAGGING, "lagging_total", "replicas that lacked the needed position")     \
   X (LINKS, "links_opened_total", "database connections opened")               \
   X (LINKS_REFUSED, "links_refused_total", "database connections refused")     \
-  X (STEPS, "link_steps_total", "statements of the proxy's own on links")      \
+  X (RESETS, "link_resets_total", "links whose session values were cleared")   \
+  X (SETS, "link_sets_total", "session values set on links")                   \
+  X (PREPARES, "link_prepares_total", "statements prepared on links")          \
+  X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
   X (STORE_FAILED, "store_failed_total", "store calls refused or lost")        \
@@ -68,12 +71,13 @@
   GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
-  guint n_nodes;         /**< registered nodes, this one included */
+  guint n_nodes;          /**< registered nodes, this one included */
   guint64 store_heard_us; /**< last answer of the store */
-  gboolean synced;       /**< the store has been read since the start */
-  gboolean draining;     /**< the stop signal has been received */
+  gboolean synced;        /**< the store has been read since the start */
+  gboolean draining;      /**< the stop signal has been received */
   guint64 close_idle_us; /**< draining: sessions at rest are closed from then */
   guint64 end_txns_us;   /**< draining: idle transactions end then */
+  guint64 totals_us;     /**< last line with the counters */
   gboolean record_changed; /**< tell the other nodes at once */
   guint64 counters[TOU_COUNT_N];
   guint64 latency[TOU_RANK_COUNT][TOU_LATENCY_BUCKETS];
@@ -92,8 +96,9 @@
   GPtrArray *endpoints; /**< of TouEndpoint, borrowed */
   TouQueue *writes;     /**< statements that need the primary */
   TouQueue *reads;      /**< statements that a replica may run */
+  guint64 target_us;    /**< time in a database that the objectives allow */
   gboolean dispatching;
-  guint64 logged_us; /**< last line with its load */
+  guint64 logged_us;       /**< last line with its load */
   TouName old_primary;     /**< while a change is under way */
   guint64 finish_until_us; /**< its open transactions may end until then */
   guint64 no_primary_us;   /**< since when none may be used; 0: one may */
--- /dev/null
+++ b/src/session/window.c
@@ -0,0 +1,67 @@
+#include "window.h"
+
+/* Weight of a new measurement: 1 / 8. */
+#define WINDOW_AVERAGE_SHIFT 3
+/* Factors of a reduction for a slow answer and for a refusal. */
+#define WINDOW_SLOW_FACTOR 0.85
+#define WINDOW_REFUSED_FACTOR 0.5
+/* At most one reduction in the time that its effect takes to show. */
+#define WINDOW_PAUSE_US (60 * TOU_US_PER_MS)
+#define WINDOW_MIN 1.0
+/* Beyond the slots: one statement on its way there, one on its way back. */
+#define WINDOW_EXTRA 2
+/* Statements of the most urgent rank that may exceed the window. */
+#define WINDOW_URGENT_EXTRA 2
+
+void
+tou_window_init (TouWindow *window, guint slots)
+{
+  window->size = MAX (slots, 1);
+  window->rtt_us = 0;
+  window->held_us = 0;
+  window->reduced_us = 0;
+}
+
+void
+tou_window_round_trip (TouWindow *window, guint64 rtt_us)
+{
+  if (window->rtt_us == 0 || rtt_us < window->rtt_us)
+    window->rtt_us = rtt_us;
+}
+
+static void
+window_reduce (TouWindow *window, double factor, guint64 now_us)
+{
+  if (now_us < window->reduced_us + WINDOW_PAUSE_US)
+    return;
+  window->reduced_us = now_us;
+  window->size = MAX (window->size * factor, WINDOW_MIN);
+}
+
+void
+tou_window_answered (TouWindow *window, guint64 taken_us, guint64 target_us,
+                     guint slots, guint64 now_us)
+{
+  guint64 held_us = taken_us - MIN (window->rtt_us, taken_us);
+
+  window->held_us = window->held_us - (window->held_us >> WINDOW_AVERAGE_SHIFT)
+                    + (held_us >> WINDOW_AVERAGE_SHIFT);
+  if (window->held_us > target_us)
+    window_reduce (window, WINDOW_SLOW_FACTOR, now_us);
+  else
+    window->size
+        = MIN (window->size + 1 / window->size, (double)slots + WINDOW_EXTRA);
+}
+
+void
+tou_window_refused (TouWindow *window, guint64 now_us)
+{
+  window_reduce (window, WINDOW_REFUSED_FACTOR, now_us);
+}
+
+gboolean
+tou_window_has_room (const TouWindow *window, guint n_in_flight,
+                     gboolean urgent)
+{
+  return n_in_flight < (guint)window->size + (urgent ? WINDOW_URGENT_EXTRA : 0);
+}
