--- a/src/session/authority.h
+++ b/src/session/authority.h
@@ -14,8 +14,11 @@
 
 G_BEGIN_DECLS
 
-/** Validity of a proof, in us: six heartbeats between nodes. */
-#define TOU_AUTHORITY_VALID_US (1500 * TOU_US_PER_MS)
+/**
+ * Validity of a proof: five heartbeats between nodes. A change of primary that
+ * a node does not acknowledge takes this much longer.
+ */
+#define TOU_AUTHORITY_VALID_US (1000 * TOU_US_PER_MS)
 
 /**
  * A node that hears a majority removes nodes that are silent for this long:
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -11,9 +11,6 @@
 /* Attempts of one statement: each database of a group of three, and once more
    after a change of primary. */
 #define CLIENT_MAX_ATTEMPTS 4
-/* A statement that needs the primary is refused at once when none could be
-   used for this long: a change of primary takes about 1.5 s. */
-#define CLIENT_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
 /* Longest request id or reason in a log line, in bytes. */
 #define CLIENT_TEXT_MAX 160
 
@@ -217,15 +214,15 @@
   guint64 now_us = tou_clock_us ();
   guint64 retry_us = 0;
   char reason[CLIENT_TEXT_MAX];
+  const char *refusal;
   int status;
 
   if (!request->needs_primary && !client_replica_condition (client, group))
     request->needs_primary = TRUE;
-  if (request->needs_primary && group->no_primary_us != 0
-      && now_us >= group->no_primary_us + CLIENT_NO_PRIMARY_US)
+  refusal = request->needs_primary ? tou_group_refusal (group, now_us) : NULL;
+  if (refusal != NULL)
     {
-      client_fail (client, TOU_SQL_E_BUSY, "no primary; retry after 1000 ms",
-                   NULL);
+      client_fail (client, TOU_SQL_E_BUSY, refusal, NULL);
       return;
     }
   memset (&request->item, 0, sizeof request->item);
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -18,14 +18,15 @@
    acknowledged. */
 #define CONTROL_WATCH_US (1500 * TOU_US_PER_MS)
 /* Pause after a call that failed; outages last seconds. */
-#define CONTROL_RETRY_US (250 * TOU_US_PER_MS)
-/* The duty's lease, and how often it is renewed: two renewals may be lost. */
-#define CONTROL_LEASE_US (2400 * TOU_US_PER_MS)
-#define CONTROL_RENEW_US (700 * TOU_US_PER_MS)
+#define CONTROL_RETRY_US (200 * TOU_US_PER_MS)
+/* The duty's lease, and how often it is renewed: two renewals may be lost. A
+   change of primary waits for the lease if its holder is cut off. */
+#define CONTROL_LEASE_US (1600 * TOU_US_PER_MS)
+#define CONTROL_RENEW_US (400 * TOU_US_PER_MS)
 /* A holder stops this long before its lease ends. */
 #define CONTROL_LEASE_MARGIN_US (300 * TOU_US_PER_MS)
 /* A new holder waits until an order of the one before has arrived. */
-#define CONTROL_TAKEOVER_US (400 * TOU_US_PER_MS)
+#define CONTROL_TAKEOVER_US (250 * TOU_US_PER_MS)
 /* Nodes try to get the duty one after the other, spread over this time. */
 #define CONTROL_SPREAD_MS 150
 /* The store is asked for the records when other nodes have not proved them for
@@ -85,7 +86,6 @@
   guint64 lead_since_us;
   guint64 lease_until_us;
   guint64 renew_us;
-  gboolean renewing;
   gboolean removing;
 };
 
@@ -595,7 +595,6 @@
   TouControl *control = user_data;
 
   control_heard (control, reply->result, "renew");
-  control->renewing = FALSE;
   if (reply->result == PLAT_STORE_OK)
     control->lease_until_us
         = MAX (control->lease_until_us,
@@ -614,9 +613,9 @@
       control_lost_duty (control, "lease not renewed");
       return;
     }
-  if (control->renewing || now_us < control->renew_us + CONTROL_RENEW_US)
+  /* Does not wait for the answer before, which may be lost. */
+  if (now_us < control->renew_us + CONTROL_RENEW_US)
     return;
-  control->renewing = TRUE;
   control->renew_us = now_us;
   plat_store_lease_renew (control->store, control->lease, control_on_renewed,
                           control);
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -214,6 +214,15 @@
   dispatch_expire_queue (group->reads, now_us);
 }
 
+void
+tou_dispatch_refuse_writes (TouGroup *group, const char *reason)
+{
+  TouQueueItem *item;
+
+  while ((item = tou_queue_pop_any (group->writes)) != NULL)
+    tou_client_refuse (tou_client_of_item (item), TOU_SQL_E_BUSY, reason);
+}
+
 void
 tou_dispatch_lacked (TouEndpoint *endpoint, TouLogPos after, guint64 now_us)
 {
--- a/src/session/dispatch.h
+++ b/src/session/dispatch.h
@@ -14,6 +14,9 @@
 /** Refuses statements whose time has passed. */
 void tou_dispatch_expire (TouGroup *group, guint64 now_us);
 
+/** Refuses all statements that wait for the primary. */
+void tou_dispatch_refuse_writes (TouGroup *group, const char *reason);
+
 /** Notes that a replica lacked @a after, so that reads avoid it for a while. */
 void tou_dispatch_lacked (TouEndpoint *endpoint, TouLogPos after,
                           guint64 now_us);
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -6,8 +6,8 @@
 
 #include <string.h>
 
-/* Heartbeats prove that a primary may be used for 1.5 s; five may be lost. */
-#define PEERS_INTERVAL_US (250 * TOU_US_PER_MS)
+/* Heartbeats prove that a primary may be used for 1 s; four may be lost. */
+#define PEERS_INTERVAL_US (200 * TOU_US_PER_MS)
 /* While a group's primary is changed, its steps wait for heartbeats. */
 #define PEERS_URGENT_US (50 * TOU_US_PER_MS)
 /* A node is reporting if it was heard from within four heartbeats. */
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -30,6 +30,13 @@
 /* A database may hold a statement for this part of the strictest objective:
    an operation has several statements and round trips. */
 #define PROXY_TARGET_SHARE 5
+/* What needs the primary is refused at once when none could be used for this
+   long: a change of primary takes about 2 s. */
+#define PROXY_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
+/* A primary that half of the nodes cannot reach is replaced by then. */
+#define PROXY_SUSPECT_US (700 * TOU_US_PER_MS)
+/* A node without proofs for this long sends its callers away. */
+#define PROXY_ISOLATED_US (400 * TOU_US_PER_MS)
 /* Interval of the lines with a group's load. */
 #define PROXY_LOAD_LOG_US (1000 * TOU_US_PER_MS)
 
@@ -186,6 +193,27 @@
              record->candidate.data, source);
 }
 
+const char *
+tou_group_refusal (TouGroup *group, guint64 now_us)
+{
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+  const TouEndpoint *primary;
+
+  if (group->no_primary_us == 0)
+    return NULL;
+  if (now_us >= group->no_primary_us + PROXY_NO_PRIMARY_US)
+    return "no primary; retry after 1000 ms";
+  if (record->revision == 0 || record->moving)
+    return NULL;
+  if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
+    return "this node is cut off; retry at another one";
+  primary = tou_group_recorded_primary (group);
+  if (primary != NULL && primary->silent_us != 0
+      && now_us >= primary->silent_us + PROXY_SUSPECT_US)
+    return "primary is not reachable from this node; retry at another one";
+  return NULL;
+}
+
 static void
 group_configure (TouGroup *group)
 {
@@ -251,13 +279,21 @@
   proxy_set_targets (proxy);
 }
 
+gboolean
+tou_proxy_is_isolated (const TouProxy *proxy)
+{
+  return proxy->isolated_us != 0
+         && tou_clock_us () >= proxy->isolated_us + PROXY_ISOLATED_US;
+}
+
 gboolean
 tou_proxy_is_ready (TouProxy *proxy)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (proxy->draining || proxy->routing == NULL || !proxy->synced)
+  if (proxy->draining || proxy->routing == NULL || !proxy->synced
+      || tou_proxy_is_isolated (proxy))
     return FALSE;
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -380,6 +416,7 @@
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
   gboolean usable = primary != NULL && primary->silent_us == 0;
+  const char *refusal;
 
   if (usable)
     group_refresh_position (group, primary, now_us);
@@ -399,9 +436,42 @@
   group_configure (group);
   tou_dispatch_group (group);
   tou_dispatch_expire (group, now_us);
+  refusal = tou_group_refusal (group, now_us);
+  if (refusal != NULL)
+    tou_dispatch_refuse_writes (group, refusal);
   group_log_load (group, now_us);
 }
 
+/* A node is isolated if it may use the primary of no group. */
+static void
+proxy_check_isolation (TouProxy *proxy, guint64 now_us)
+{
+  gboolean known = FALSE;
+  gboolean isolated = TRUE;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      const TouGroupRecord *record = tou_authority_record (group->authority);
+
+      if (record->revision == 0)
+        continue;
+      known = TRUE;
+      isolated = isolated && !record->moving
+                 && !tou_authority_is_valid (group->authority, proxy->n_nodes,
+                                             now_us);
+    }
+  isolated = isolated && known;
+  if (isolated == (proxy->isolated_us != 0))
+    return;
+  proxy->isolated_us = isolated ? now_us : 0;
+  tou_evlog (TOU_EVLOG_STATE, isolated ? "isolated" : "connected",
+             "\"nodes\":%u", proxy->n_nodes);
+}
+
 /* Totals since the start; their differences show a rate. */
 static void
 proxy_log_totals (TouProxy *proxy, guint64 now_us)
@@ -452,6 +522,7 @@
   g_hash_table_iter_init (&iter, proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     group_tick (value, now_us);
+  proxy_check_isolation (proxy, now_us);
   proxy_log_totals (proxy, now_us);
   for (GList *node = proxy->clients.head; node != NULL; node = next)
     {
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -72,6 +72,7 @@
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
   guint n_nodes;          /**< registered nodes, this one included */
+  guint64 isolated_us;    /**< since when it may use no primary; 0: it may */
   guint64 store_heard_us; /**< last answer of the store */
   gboolean synced;        /**< the store has been read since the start */
   gboolean draining;      /**< the stop signal has been received */
@@ -110,6 +111,12 @@
 /** The group's primary if this node may use it at @a now_us, else NULL. */
 TouEndpoint *tou_group_primary (TouGroup *group, guint64 now_us);
 
+/**
+ * Reason to refuse at once what needs the primary, or NULL if one is usable or
+ * expected soon. Callers' retries reach other nodes.
+ */
+const char *tou_group_refusal (TouGroup *group, guint64 now_us);
+
 /** The endpoint that the record names, or NULL. */
 TouEndpoint *tou_group_recorded_primary (TouGroup *group);
 
@@ -139,6 +146,8 @@
 void tou_proxy_tick (TouProxy *proxy, guint64 now_us);
 /** Replaces the configuration by a newer version; takes it over. */
 void tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing);
+/** TRUE if this node can neither write nor prove fresh reads. */
+gboolean tou_proxy_is_isolated (const TouProxy *proxy);
 /** TRUE if callers should be sent here. */
 gboolean tou_proxy_is_ready (TouProxy *proxy);
 /** Begins a graceful shutdown. */
