--- a/src/session/client.c
+++ b/src/session/client.c
@@ -11,6 +11,8 @@
 /* Attempts of one statement: each database of a group of three, and once more
    after a change of primary. */
 #define CLIENT_MAX_ATTEMPTS 4
+/* Callers give up a session that is not accepted within 2 s. */
+#define CLIENT_STARTUP_WAIT_US (1700 * TOU_US_PER_MS)
 /* Longest request id or reason in a log line, in bytes. */
 #define CLIENT_TEXT_MAX 160
 
@@ -721,25 +723,46 @@
   tou_client_close (client);
 }
 
+/* Accepts a session whose database is routed. */
 static void
-client_on_startup (TouClient *client, const TouSqlCallerMessage *message)
+client_admit (TouClient *client)
 {
   GString *out;
 
-  if (client->proxy->routing == NULL)
-    client_reject (client, TOU_SQL_E_BUSY, "no configuration yet");
-  else if (tou_name_set (&client->database, message->database.data,
-                         message->database.len)
-               != TOU_OK
-           || !client_take_route (client))
-    client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
-  else
+  client->waiting_us = 0;
+  if (!client_take_route (client))
     {
-      client->started = TRUE;
-      out = g_string_new (NULL);
-      plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
-      client_send (client, out);
+      client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
+      return;
     }
+  client->started = TRUE;
+  out = g_string_new (NULL);
+  plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
+  client_send (client, out);
+}
+
+static void
+client_on_startup (TouClient *client, const TouSqlCallerMessage *message)
+{
+  if (tou_name_set (&client->database, message->database.data,
+                    message->database.len)
+      != TOU_OK)
+    client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
+  else if (client->proxy->routing != NULL)
+    client_admit (client);
+  else
+    client->waiting_us = tou_clock_us ();
+}
+
+/* After a restart the configuration is there in a moment, unless the store is
+   down; a refusal would use up the caller's retries meanwhile. */
+static void
+client_tick_waiting (TouClient *client, guint64 now_us)
+{
+  if (client->proxy->routing != NULL)
+    client_admit (client);
+  else if (now_us >= client->waiting_us + CLIENT_STARTUP_WAIT_US)
+    client_reject (client, TOU_SQL_E_BUSY, "no configuration yet");
 }
 
 static void
@@ -748,7 +771,8 @@
   TouSqlCallerMessage message;
 
   plat_wire_caller_message (&message, line);
-  if (message.kind == TOU_SQL_CALLER_STARTUP && !client->started)
+  if (message.kind == TOU_SQL_CALLER_STARTUP && !client->started
+      && client->waiting_us == 0)
     client_on_startup (client, &message);
   else if (message.kind == TOU_SQL_CALLER_QUERY && client->started)
     client_on_query (client, &message);
@@ -884,6 +908,11 @@
 
   if (client->busy || client->closing)
     return;
+  if (client->waiting_us != 0)
+    {
+      client_tick_waiting (client, now_us);
+      return;
+    }
   if (client->link != NULL
       && (now_us - client->idle_since_us >= idle_us
           || (proxy->draining && now_us >= proxy->end_txns_us)))
@@ -891,8 +920,9 @@
       client_drop_link (client);
       client->txn_lost = TRUE;
     }
-  /* A session at rest loses nothing when it is closed. */
-  if (proxy->draining && now_us >= proxy->close_idle_us && client->link == NULL
-      && client->in->len == 0)
+  /* A session at rest loses nothing when it is closed; its caller comes back
+     at a node that can serve it. */
+  if (tou_proxy_closes_sessions (proxy, now_us) && client->started
+      && client->state == TOU_SQL_STATE_IDLE && client->in->len == 0)
     tou_client_close (client);
 }
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -32,7 +32,8 @@
   gboolean closing; /**< the connection is being freed */
   gboolean gone;    /**< the caller left; the client ends with its statement */
   gboolean parsing;
-  gboolean started; /**< the first message was accepted */
+  gboolean started;   /**< the first message was accepted */
+  guint64 waiting_us; /**< since when it waits for a configuration; 0: not */
   TouName database;
   TouSqlValues values;
   GHashTable *prepared; /**< caller's name to TouPrepared */
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -19,6 +19,9 @@
 #define CONTROL_WATCH_US (1500 * TOU_US_PER_MS)
 /* Pause after a call that failed; outages last seconds. */
 #define CONTROL_RETRY_US (200 * TOU_US_PER_MS)
+/* A node that has just started can serve nothing before it has read the
+   store. */
+#define CONTROL_START_RETRY_US (50 * TOU_US_PER_MS)
 /* The duty's lease, and how often it is renewed: two renewals may be lost. A
    change of primary waits for the lease if its holder is cut off. */
 #define CONTROL_LEASE_US (1600 * TOU_US_PER_MS)
@@ -356,7 +359,9 @@
   if (reply->result != PLAT_STORE_OK)
     {
       control->listing = FALSE;
-      control->retry_us = tou_clock_us () + CONTROL_RETRY_US;
+      control->retry_us = tou_clock_us ()
+                          + (control->proxy->synced ? CONTROL_RETRY_US
+                                                    : CONTROL_START_RETRY_US);
       return;
     }
   if (control->list_revision == 0)
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -35,8 +35,8 @@
 #define PROXY_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
 /* A primary that half of the nodes cannot reach is replaced by then. */
 #define PROXY_SUSPECT_US (700 * TOU_US_PER_MS)
-/* A node without proofs for this long sends its callers away. */
-#define PROXY_ISOLATED_US (400 * TOU_US_PER_MS)
+/* A node without proofs for this long reports itself not ready. */
+#define PROXY_ISOLATED_US (200 * TOU_US_PER_MS)
 /* Interval of the lines with a group's load. */
 #define PROXY_LOAD_LOG_US (1000 * TOU_US_PER_MS)
 
@@ -280,10 +280,12 @@
 }
 
 gboolean
-tou_proxy_is_isolated (const TouProxy *proxy)
+tou_proxy_closes_sessions (const TouProxy *proxy, guint64 now_us)
 {
+  if (proxy->draining)
+    return now_us >= proxy->drain_us + PROXY_CLOSE_IDLE_US;
   return proxy->isolated_us != 0
-         && tou_clock_us () >= proxy->isolated_us + PROXY_ISOLATED_US;
+         && now_us >= proxy->isolated_us + PROXY_CLOSE_IDLE_US;
 }
 
 gboolean
@@ -293,7 +295,8 @@
   gpointer value;
 
   if (proxy->draining || proxy->routing == NULL || !proxy->synced
-      || tou_proxy_is_isolated (proxy))
+      || (proxy->isolated_us != 0
+          && tou_clock_us () >= proxy->isolated_us + PROXY_ISOLATED_US))
     return FALSE;
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -535,7 +538,7 @@
 tou_proxy_drain (TouProxy *proxy, guint64 now_us)
 {
   proxy->draining = TRUE;
-  proxy->close_idle_us = now_us + PROXY_CLOSE_IDLE_US;
+  proxy->drain_us = now_us;
   proxy->end_txns_us = now_us + proxy->site.grace_us / 2;
 }
 
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -71,14 +71,14 @@
   GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
-  guint n_nodes;          /**< registered nodes, this one included */
-  guint64 isolated_us;    /**< since when it may use no primary; 0: it may */
-  guint64 store_heard_us; /**< last answer of the store */
-  gboolean synced;        /**< the store has been read since the start */
-  gboolean draining;      /**< the stop signal has been received */
-  guint64 close_idle_us; /**< draining: sessions at rest are closed from then */
-  guint64 end_txns_us;   /**< draining: idle transactions end then */
-  guint64 totals_us;     /**< last line with the counters */
+  guint n_nodes;           /**< registered nodes, this one included */
+  guint64 isolated_us;     /**< since when it may use no primary; 0: it may */
+  guint64 store_heard_us;  /**< last answer of the store */
+  gboolean synced;         /**< the store has been read since the start */
+  gboolean draining;       /**< the stop signal has been received */
+  guint64 drain_us;        /**< when it was received */
+  guint64 end_txns_us;     /**< draining: idle transactions end then */
+  guint64 totals_us;       /**< last line with the counters */
   gboolean record_changed; /**< tell the other nodes at once */
   guint64 counters[TOU_COUNT_N];
   guint64 latency[TOU_RANK_COUNT][TOU_LATENCY_BUCKETS];
@@ -146,8 +146,8 @@
 void tou_proxy_tick (TouProxy *proxy, guint64 now_us);
 /** Replaces the configuration by a newer version; takes it over. */
 void tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing);
-/** TRUE if this node can neither write nor prove fresh reads. */
-gboolean tou_proxy_is_isolated (const TouProxy *proxy);
+/** TRUE if sessions at rest are sent to other nodes. */
+gboolean tou_proxy_closes_sessions (const TouProxy *proxy, guint64 now_us);
 /** TRUE if callers should be sent here. */
 gboolean tou_proxy_is_ready (TouProxy *proxy);
 /** Begins a graceful shutdown. */
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -73,7 +73,8 @@
   TouProxy *proxy = daemon->proxy;
 
   if (daemon->leave_us == 0
-      && ((proxy->clients.length == 0 && now_us >= proxy->close_idle_us)
+      && ((proxy->clients.length == 0
+           && tou_proxy_closes_sessions (proxy, now_us))
           || now_us + SESSIOND_EXIT_MARGIN_US >= daemon->kill_us))
     {
       daemon->leave_us = now_us;
