Leave half of the databases' connections free between bursts

Cause: after a loss of power the databases count the connections of the lost processes for 3 s and refuse new ones, so what is held beyond half of the limit delays recovery. Idle links beyond a node's part of that half close after 0.25 s, others after 1 s. A node that has just started is not taken as cut off before its first proofs can arrive.

--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -6,9 +6,11 @@
 
 #include <string.h>
 
-/* An idle link is closed after this time, because another node may need the
-   connection; the last one of an endpoint stays. */
-#define LINK_IDLE_US (500 * TOU_US_PER_MS)
+/* An idle link within the node's part of half of the connections is closed
+   after the first time, one beyond it after the second, because another node
+   may need it; the last one of an endpoint stays. */
+#define LINK_IDLE_US (1000 * TOU_US_PER_MS)
+#define LINK_IDLE_EXTRA_US (250 * TOU_US_PER_MS)
 /* Links of one endpoint that open at the same time: one that opens may serve
    several waiting statements, and each takes a slot for 12 ms. */
 #define LINK_MAX_OPENING 2
@@ -117,6 +119,19 @@
          && endpoint->silent_us == 0;
 }
 
+/* The other half is for bursts, and for a restart of all nodes: the databases
+   count the connections of lost processes for 3 s. */
+static guint64
+endpoint_idle_us (const TouEndpoint *endpoint)
+{
+  guint n_parts = 2 * endpoint->proxy->n_nodes;
+  guint limit = endpoint->group->limits.connection_limit;
+
+  return endpoint->links->len <= (limit + n_parts - 1) / n_parts
+             ? LINK_IDLE_US
+             : LINK_IDLE_EXTRA_US;
+}
+
 void
 tou_endpoint_tick (TouEndpoint *endpoint, guint64 now_us)
 {
@@ -143,7 +158,7 @@
           tou_link_close (link, reason);
         }
       else if (tou_link_is_idle (link) && endpoint->links->len > 1
-               && now_us >= link->since_us + LINK_IDLE_US)
+               && now_us >= link->since_us + endpoint_idle_us (endpoint))
         tou_link_close (link, NULL);
     }
   if (oldest_us != G_MAXUINT64
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -205,6 +205,8 @@
     return "no primary; retry after 1000 ms";
   if (record->revision == 0 || record->moving)
     return NULL;
+  if (now_us < group->no_primary_us + PROXY_ISOLATED_US)
+    return NULL;
   if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
     return "this node is cut off; retry at another one";
   primary = tou_group_recorded_primary (group);
