--- /dev/null
+++ b/fuzz/fuzz-wire.c
@@ -0,0 +1,66 @@
+/* Feeds arbitrary bytes to the decoders of the platform's messages and
+   documents. What is accepted must lie within the input. */
+#include "document.h"
+#include "site.h"
+#include "wire.h"
+
+#include <stdint.h>
+#include <stdlib.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+check_inside (TouSlice part, TouSlice whole)
+{
+  if (part.len == 0)
+    return;
+  if (part.data < whole.data || part.data + part.len > whole.data + whole.len)
+    abort ();
+}
+
+static void
+decode_line (TouSlice line)
+{
+  TouSqlCallerMessage message;
+  TouSqlStatement statement;
+  TouSqlReply reply;
+  TouSqlStatus status;
+
+  plat_wire_caller_message (&message, line);
+  check_inside (message.database, line);
+  check_inside (message.id, line);
+  check_inside (message.text, line);
+  plat_wire_statement (&statement, line);
+  if (statement.kind == TOU_SQL_EXECUTE)
+    check_inside (statement.as.execute.arguments, line);
+  plat_wire_reply (&reply, line);
+  check_inside (reply.text, line);
+  plat_wire_status (&status, line);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  char *text = g_strndup ((const char *)data, size);
+  TouStr value = { text, size };
+  TouEndpointInfo info;
+  TouRouting *routing;
+  TouSlice line;
+  TouSite site;
+  gsize used = 0;
+  gsize len;
+
+  while ((len = plat_wire_line (&line, text + used, size - used)) > 0)
+    {
+      if (len > size - used)
+        abort ();
+      used += len;
+      decode_line (line);
+    }
+  plat_document_endpoint (&info, "i-1", &value);
+  if (plat_document_routing (&routing, &value) == TOU_OK)
+    tou_routing_destroy (routing);
+  plat_site_parse (&site, text);
+  g_free (text);
+  return 0;
+}
--- a/src/session/authority.c
+++ b/src/session/authority.c
@@ -108,18 +108,22 @@
   return MAX (authority->store_us, authority_majority_us (authority, n_nodes));
 }
 
+/* Time 0 stands for no proof. */
+static gboolean
+authority_is_recent (guint64 proved_us, guint64 now_us)
+{
+  return proved_us != 0 && now_us < proved_us + TOU_AUTHORITY_VALID_US;
+}
+
 gboolean
 tou_authority_is_valid (const TouAuthority *authority, guint n_nodes,
                         guint64 now_us)
 {
-  guint64 proved_us;
-
   if (authority->record.revision == 0 || authority->record.moving)
     return FALSE;
-  if (now_us < authority->store_us + TOU_AUTHORITY_VALID_US)
-    return TRUE;
-  proved_us = authority_majority_us (authority, n_nodes);
-  return now_us < proved_us + TOU_AUTHORITY_VALID_US;
+  return authority_is_recent (authority->store_us, now_us)
+         || authority_is_recent (authority_majority_us (authority, n_nodes),
+                                 now_us);
 }
 
 gboolean
--- a/src/session/stream.c
+++ b/src/session/stream.c
@@ -63,7 +63,7 @@
   guint64 port;
 
   if (colon == NULL
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, G_MAXUINT16, &port,
+      || !g_ascii_string_to_unsigned (colon + 1, 10, 0, G_MAXUINT16, &port,
                                       NULL))
     return tou_status_set (TOU_E_SETTING_INVALID, "\"%s\" is not ip:port",
                            address->data);
--- /dev/null
+++ b/tests/support/line-database.c
@@ -0,0 +1,402 @@
+#include "line-database.h"
+
+#include "stream.h"
+#include "values.h"
+
+#include "wire.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define BACKLOG 16
+
+struct LineDatabase
+{
+  uv_tcp_t listener;
+  char *id;
+  gboolean primary;
+  TouLogPos pos;
+  char *failure;
+  gboolean drop;
+  gboolean hold;
+  GString *held;        /* answer that waits */
+  uv_stream_t *held_by; /* connection that it is for */
+  GString *trace;
+};
+
+typedef struct
+{
+  uv_tcp_t tcp;
+  LineDatabase *database;
+  GString *in;
+  gboolean started;
+  gboolean in_txn;
+  gboolean wrote;
+  GHashTable *prepared; /* name to "ACCESS shape" */
+  TouSqlValues values;
+} Connection;
+
+static void
+on_closed (uv_handle_t *handle)
+{
+  Connection *connection = handle->data;
+
+  g_string_free (connection->in, TRUE);
+  g_hash_table_destroy (connection->prepared);
+  tou_values_clear (&connection->values);
+  g_free (connection);
+}
+
+static void
+close_connection (Connection *connection)
+{
+  if (!uv_is_closing ((uv_handle_t *)&connection->tcp))
+    uv_close ((uv_handle_t *)&connection->tcp, on_closed);
+}
+
+static gboolean
+starts_with (TouSlice text, const char *word)
+{
+  gsize len = strlen (word);
+
+  return text.len >= len && memcmp (text.data, word, len) == 0
+         && (text.len == len || text.data[len] == ' ');
+}
+
+static TouSlice
+skip_word (TouSlice text)
+{
+  const char *blank = memchr (text.data, ' ', text.len);
+  gsize skipped = blank != NULL ? (gsize)(blank - text.data) + 1 : text.len;
+
+  return (TouSlice){ text.data + skipped, text.len - skipped };
+}
+
+static TouSlice
+first_word (TouSlice text)
+{
+  const char *blank = memchr (text.data, ' ', text.len);
+
+  return (TouSlice){ text.data,
+                     blank != NULL ? (gsize)(blank - text.data) : text.len };
+}
+
+static void
+put_ready (Connection *connection, GString *out)
+{
+  plat_wire_put_ready (
+      out, connection->in_txn ? TOU_SQL_STATE_OPEN : TOU_SQL_STATE_IDLE,
+      connection->database->pos);
+}
+
+static void
+put_proof (Connection *connection, TouSlice id, GString *out)
+{
+  g_string_append_printf (out, "COMPLETE proof-%s-%.*s\r\n",
+                          connection->database->id, (int)id.len, id.data);
+}
+
+/* The row shows with which values and shape the statement ran. */
+static void
+put_row (Connection *connection, const char *shape, GString *out)
+{
+  g_string_append_printf (out, "DATAROW row-of-%s %s", connection->database->id,
+                          shape);
+  for (guint i = 0; i < connection->values.names->len; i++)
+    g_string_append_printf (
+        out, " %s=%s", (char *)g_ptr_array_index (connection->values.names, i),
+        (char *)g_ptr_array_index (connection->values.values, i));
+  g_string_append (out, "\r\n");
+}
+
+static void
+run_execute (Connection *connection, TouSlice id, TouSlice text, GString *out)
+{
+  TouSlice word = first_word (skip_word (text));
+  char *name = g_strndup (word.data, word.len);
+  const char *access = g_hash_table_lookup (connection->prepared, name);
+
+  g_free (name);
+  if (access == NULL)
+    {
+      plat_wire_put_error (out, TOU_SQL_E_UNKNOWN_STATEMENT, "unknown");
+      return;
+    }
+  connection->wrote = connection->wrote || g_str_has_prefix (access, "WRITE ");
+  put_row (connection, access, out);
+  put_proof (connection, id, out);
+}
+
+static void
+run_prepare (Connection *connection, TouSlice text)
+{
+  TouSlice name = first_word (skip_word (text));
+  TouSlice access = skip_word (skip_word (text));
+
+  g_hash_table_replace (connection->prepared, g_strndup (name.data, name.len),
+                        g_strndup (access.data, access.len));
+}
+
+static void
+end_autocommit (Connection *connection)
+{
+  if (connection->in_txn)
+    return;
+  if (connection->wrote)
+    connection->database->pos.position++;
+  connection->wrote = FALSE;
+}
+
+/* Runs a statement and appends its answer without READY. */
+static void
+run_text (Connection *connection, TouSlice id, TouSlice text, GString *out)
+{
+  LineDatabase *database = connection->database;
+
+  if (starts_with (text, "BEGIN"))
+    {
+      if (!database->primary && text.len == strlen ("BEGIN"))
+        {
+          plat_wire_put_error (out, TOU_SQL_E_READ_ONLY, database->id);
+          return;
+        }
+      connection->in_txn = TRUE;
+      plat_wire_put_complete (out, NULL);
+    }
+  else if (starts_with (text, "COMMIT"))
+    {
+      connection->in_txn = FALSE;
+      end_autocommit (connection);
+      put_proof (connection, id, out);
+    }
+  else if (starts_with (text, "READ"))
+    {
+      put_row (connection, "plain", out);
+      put_proof (connection, id, out);
+    }
+  else if (starts_with (text, "WRITE"))
+    {
+      if (!database->primary)
+        {
+          plat_wire_put_error (out, TOU_SQL_E_READ_ONLY, database->id);
+          return;
+        }
+      connection->wrote = TRUE;
+      end_autocommit (connection);
+      put_proof (connection, id, out);
+    }
+  else if (starts_with (text, "EXECUTE"))
+    {
+      run_execute (connection, id, text, out);
+      end_autocommit (connection);
+    }
+  else if (starts_with (text, "STATUS"))
+    {
+      g_string_append_printf (
+          out,
+          "DATAROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+          ".%" G_GUINT64_FORMAT " 0 0 0 1\r\n",
+          database->primary ? "primary" : "replica", database->pos.term,
+          database->pos.term, database->pos.position);
+      plat_wire_put_complete (out, NULL);
+    }
+  else
+    {
+      if (starts_with (text, "PREPARE"))
+        run_prepare (connection, text);
+      else if (starts_with (text, "SET"))
+        tou_values_set (&connection->values, first_word (skip_word (text)),
+                        skip_word (skip_word (text)));
+      else if (starts_with (text, "RESET"))
+        {
+          tou_values_reset (&connection->values);
+          g_hash_table_remove_all (connection->prepared);
+        }
+      else if (starts_with (text, "ROLLBACK"))
+        connection->in_txn = connection->wrote = FALSE;
+      plat_wire_put_complete (out, NULL);
+    }
+}
+
+static void
+on_query (Connection *connection, TouSlice id, TouSlice text)
+{
+  LineDatabase *database = connection->database;
+  gboolean own = id.len == 1 && id.data[0] == '-';
+  GString *out = g_string_new (NULL);
+  TouLogPos after = { 0, 0 };
+
+  if (starts_with (text, "AFTER"))
+    {
+      text = skip_word (text);
+      sscanf (text.data, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+              &after.term, &after.position);
+      text = skip_word (text);
+    }
+  if (tou_log_pos_compare (database->pos, after) < 0)
+    plat_wire_put_error (out, TOU_SQL_E_LAGGING, database->id);
+  else if (!own && database->failure != NULL)
+    {
+      g_string_append_printf (out, "ERROR %s wanted\r\n", database->failure);
+      g_clear_pointer (&database->failure, g_free);
+    }
+  else
+    run_text (connection, id, text, out);
+  put_ready (connection, out);
+  if (!own && database->drop)
+    {
+      database->drop = FALSE;
+      close_connection (connection);
+    }
+  else if (!own && database->hold)
+    {
+      database->hold = FALSE;
+      database->held = out;
+      database->held_by = (uv_stream_t *)&connection->tcp;
+      return;
+    }
+  else
+    tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+static void
+on_line (Connection *connection, TouSlice line)
+{
+  LineDatabase *database = connection->database;
+  GString *out;
+  TouSlice rest = skip_word (line);
+
+  if (!connection->started)
+    {
+      connection->started = TRUE;
+      out = g_string_new (NULL);
+      put_ready (connection, out);
+      tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+      g_string_free (out, TRUE);
+      return;
+    }
+  /* The proxy asks for the status at times of its own. */
+  if (!starts_with (skip_word (rest), PLAT_WIRE_STATUS_TEXT))
+    g_string_append_printf (database->trace, "%s> %.*s\n", database->id,
+                            (int)line.len, line.data);
+  on_query (connection, first_word (rest), skip_word (rest));
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  Connection *connection = stream->data;
+  gsize used = 0;
+  gsize len;
+  TouSlice line;
+
+  if (n < 0)
+    {
+      if (connection->in_txn)
+        g_string_append_printf (connection->database->trace,
+                                "%s> closed in a transaction\n",
+                                connection->database->id);
+      close_connection (connection);
+      return;
+    }
+  g_string_append_len (connection->in, buf->base, n);
+  while (!uv_is_closing ((uv_handle_t *)stream)
+         && (len = plat_wire_line (&line, connection->in->str + used,
+                                   connection->in->len - used))
+                > 0)
+    {
+      used += len;
+      on_line (connection, line);
+    }
+  g_string_erase (connection->in, 0, (gssize)used);
+}
+
+static void
+on_connection (uv_stream_t *server, int status)
+{
+  Connection *connection = g_new0 (Connection, 1);
+
+  (void)status;
+  connection->database = server->data;
+  connection->in = g_string_new (NULL);
+  connection->prepared
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  tou_values_init (&connection->values);
+  uv_tcp_init (server->loop, &connection->tcp);
+  connection->tcp.data = connection;
+  uv_accept (server, (uv_stream_t *)&connection->tcp);
+  uv_read_start ((uv_stream_t *)&connection->tcp, tou_stream_alloc, on_read);
+}
+
+LineDatabase *
+line_database_new (uv_loop_t *loop, const char *id, gboolean primary)
+{
+  LineDatabase *database = g_new0 (LineDatabase, 1);
+  struct sockaddr_in address;
+
+  database->id = g_strdup (id);
+  database->primary = primary;
+  database->pos.term = 1;
+  database->pos.position = 1;
+  database->trace = g_string_new (NULL);
+  uv_ip4_addr ("127.0.0.1", 0, &address);
+  uv_tcp_init (loop, &database->listener);
+  database->listener.data = database;
+  uv_tcp_bind (&database->listener, (const struct sockaddr *)&address, 0);
+  uv_listen ((uv_stream_t *)&database->listener, BACKLOG, on_connection);
+  return database;
+}
+
+int
+line_database_port (const LineDatabase *database)
+{
+  struct sockaddr_in address;
+  int len = sizeof address;
+
+  uv_tcp_getsockname (&database->listener, (struct sockaddr *)&address, &len);
+  return g_ntohs (address.sin_port);
+}
+
+void
+line_database_set_position (LineDatabase *database, TouLogPos pos)
+{
+  database->pos = pos;
+}
+
+void
+line_database_fail (LineDatabase *database, const char *error)
+{
+  database->failure = g_strdup (error);
+}
+
+void
+line_database_drop (LineDatabase *database)
+{
+  database->drop = TRUE;
+}
+
+void
+line_database_hold (LineDatabase *database)
+{
+  database->hold = TRUE;
+}
+
+void
+line_database_resume (LineDatabase *database)
+{
+  if (database->held == NULL)
+    return;
+  tou_stream_send (database->held_by, database->held->str, database->held->len);
+  g_string_free (database->held, TRUE);
+  database->held = NULL;
+}
+
+GString *
+line_database_take_trace (LineDatabase *database)
+{
+  GString *trace = database->trace;
+
+  database->trace = g_string_new (NULL);
+  return trace;
+}
--- /dev/null
+++ b/tests/support/session-script.c
@@ -0,0 +1,551 @@
+#include "session-script.h"
+
+#include "authority.h"
+#include "freshness.h"
+#include "handover.h"
+#include "values.h"
+#include "window.h"
+
+#include "document.h"
+#include "site.h"
+#include "wire.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_WORDS 16
+
+typedef struct
+{
+  GString *out;
+  TouAuthority *authority;
+  TouFreshness *freshness;
+  TouSqlValues have;
+  TouSqlValues want;
+  TouWindow window;
+  guint slots;
+  TouHandover *handover;
+  TouHandoverView view;
+} Script;
+
+typedef struct
+{
+  int count;
+  char **words;
+  const char *rest; /* of the line, after the first word */
+} Command;
+
+static guint64
+number (const Command *command, int i)
+{
+  return i < command->count ? strtoull (command->words[i], NULL, 10) : 0;
+}
+
+static guint64
+ms (const Command *command, int i)
+{
+  return number (command, i) * TOU_US_PER_MS;
+}
+
+static const char *
+word (const Command *command, int i)
+{
+  return i < command->count ? command->words[i] : "";
+}
+
+static gboolean
+is_word (const Command *command, int i, const char *text)
+{
+  return strcmp (word (command, i), text) == 0;
+}
+
+static TouSlice
+slice (const char *text)
+{
+  return (TouSlice){ text, strlen (text) };
+}
+
+static void
+put_slice (Script *script, const char *label, TouSlice text)
+{
+  g_string_append_printf (script->out, " %s=[%.*s]", label, (int)text.len,
+                          text.len > 0 ? text.data : "");
+}
+
+static void
+run_caller (Script *script, const Command *command)
+{
+  static const char *const kinds[]
+      = { "invalid", "startup", "query", "terminate" };
+  TouSqlCallerMessage message;
+
+  plat_wire_caller_message (&message, slice (command->rest));
+  g_string_append (script->out, kinds[message.kind]);
+  put_slice (script, "database", message.database);
+  put_slice (script, "id", message.id);
+  put_slice (script, "text", message.text);
+  g_string_append_c (script->out, '\n');
+}
+
+static void
+run_statement (Script *script, const Command *command)
+{
+  static const char *const kinds[]
+      = { "invalid", "begin", "commit",  "rollback", "read",
+          "write",   "set",   "prepare", "execute",  "deallocate" };
+  TouSqlStatement statement;
+
+  plat_wire_statement (&statement, slice (command->rest));
+  g_string_append (script->out, kinds[statement.kind]);
+  switch (statement.kind)
+    {
+    case TOU_SQL_BEGIN:
+      g_string_append (script->out, statement.as.begin.read_only
+                                        ? " read-only"
+                                        : " read-write");
+      break;
+    case TOU_SQL_SET:
+      put_slice (script, "name", statement.as.set.name);
+      put_slice (script, "value", statement.as.set.value);
+      break;
+    case TOU_SQL_PREPARE:
+      put_slice (script, "name", statement.as.prepare.name);
+      put_slice (script, "shape", statement.as.prepare.shape);
+      g_string_append (script->out,
+                       statement.as.prepare.writes ? " writes" : " reads");
+      break;
+    case TOU_SQL_EXECUTE:
+      put_slice (script, "name", statement.as.execute.name);
+      put_slice (script, "arguments", statement.as.execute.arguments);
+      break;
+    case TOU_SQL_DEALLOCATE:
+      put_slice (script, "name", statement.as.deallocate.name);
+      break;
+    default:
+      break;
+    }
+  g_string_append_c (script->out, '\n');
+}
+
+static void
+run_reply (Script *script, const Command *command)
+{
+  static const char *const kinds[]
+      = { "invalid", "ready", "row", "complete", "error" };
+  static const char states[] = "ITE";
+  TouSqlReply reply;
+
+  plat_wire_reply (&reply, slice (command->rest));
+  g_string_append (script->out, kinds[reply.kind]);
+  if (reply.kind == TOU_SQL_REPLY_READY)
+    g_string_append_printf (
+        script->out, " %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+        states[reply.state], reply.pos.term, reply.pos.position);
+  else if (reply.kind == TOU_SQL_REPLY_ERROR)
+    g_string_append_printf (script->out, " %s",
+                            plat_wire_error_name (reply.error));
+  if (reply.kind != TOU_SQL_REPLY_READY && reply.kind != TOU_SQL_REPLY_INVALID)
+    put_slice (script, "text", reply.text);
+  g_string_append_c (script->out, '\n');
+}
+
+static void
+run_status (Script *script, const Command *command)
+{
+  TouSqlStatus status;
+
+  if (plat_wire_status (&status, slice (command->rest)) != TOU_OK)
+    g_string_append (script->out, "not readable\n");
+  else
+    g_string_append_printf (
+        script->out,
+        "%s term %" G_GUINT64_FORMAT " received %" G_GUINT64_FORMAT
+        ".%" G_GUINT64_FORMAT " connections %u\n",
+        status.role == TOU_ROLE_PRIMARY ? "primary" : "replica", status.term,
+        status.received.term, status.received.position, status.connections);
+}
+
+static void
+run_config (Script *script, const Command *command)
+{
+  TouStr value = { (char *)command->rest, strlen (command->rest) };
+  TouRouting *routing;
+  GHashTableIter iter;
+  gpointer item;
+
+  if (plat_document_routing (&routing, &value) != TOU_OK)
+    {
+      g_string_append_printf (script->out, "%s\n", tou_status_message ());
+      return;
+    }
+  g_string_append_printf (script->out,
+                          "version %" G_GUINT64_FORMAT
+                          " idle %" G_GUINT64_FORMAT "us\n",
+                          routing->version, routing->txn_idle_us);
+  g_hash_table_iter_init (&iter, routing->routes);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      const TouRoute *route = item;
+
+      g_string_append_printf (
+          script->out,
+          "route %s: database %s group %s mode %d rank %d "
+          "age %" G_GUINT64_FORMAT "us timeout %" G_GUINT64_FORMAT "us\n",
+          route->name.data, route->database.data, route->group.data,
+          (int)route->mode, (int)route->rank, route->max_age_us,
+          route->timeout_us);
+    }
+  g_hash_table_iter_init (&iter, routing->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    g_string_append_printf (script->out, "group %s: connections %u\n",
+                            ((const TouGroupLimits *)item)->name.data,
+                            ((const TouGroupLimits *)item)->connection_limit);
+  tou_routing_destroy (routing);
+}
+
+static void
+run_entry (Script *script, const Command *command)
+{
+  TouStr value = { (char *)command->rest, strlen (command->rest) };
+  TouEndpointInfo info;
+
+  if (plat_document_endpoint (&info, "i-1", &value) != TOU_OK)
+    g_string_append_printf (script->out, "%s\n", tou_status_message ());
+  else
+    g_string_append_printf (
+        script->out,
+        "%s %s at %s, %u slots, %s%s, born %" G_GUINT64_FORMAT "\n",
+        info.group.data, info.id.data, info.address.data, info.slots,
+        info.role == TOU_ROLE_PRIMARY ? "primary" : "replica",
+        info.draining ? ", draining" : "", info.born_ms);
+}
+
+static void
+run_settings (Script *script, const Command *command)
+{
+  char *text = g_strdelimit (g_strdup (command->rest), ";", '\n');
+  TouSite site;
+
+  if (plat_site_parse (&site, text) != TOU_OK)
+    g_string_append_printf (script->out, "%s\n", tou_status_message ());
+  else
+    g_string_append_printf (
+        script->out, "%s in %s, peers %s, metrics %s, %u descriptors\n",
+        site.node.data, site.failure_domain.data, site.peers_listen.data,
+        site.metrics_listen.data, site.max_descriptors);
+  g_free (text);
+}
+
+static gboolean
+run_decoder (Script *script, const Command *command)
+{
+  static const struct
+  {
+    const char *name;
+    void (*run) (Script *, const Command *);
+  } decoders[] = {
+    { "caller", run_caller },     { "statement", run_statement },
+    { "reply", run_reply },       { "status", run_status },
+    { "config", run_config },     { "entry", run_entry },
+    { "settings", run_settings },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (decoders); i++)
+    if (is_word (command, 0, decoders[i].name))
+      {
+        decoders[i].run (script, command);
+        return TRUE;
+      }
+  return FALSE;
+}
+
+static void
+put_yes (Script *script, const char *label, gboolean yes)
+{
+  g_string_append_printf (script->out, "%s: %s\n", label, yes ? "yes" : "no");
+}
+
+static gboolean
+run_authority (Script *script, const Command *command)
+{
+  TouGroupRecord record = { 0 };
+  TouName node;
+
+  if (is_word (command, 0, "adopt"))
+    {
+      record.revision = number (command, 1);
+      record.primary = tou_name ("db1");
+      record.moving = is_word (command, 2, "moving");
+      put_yes (script, "adopted",
+               tou_authority_adopt (script->authority, &record));
+    }
+  else if (is_word (command, 0, "proof-store"))
+    tou_authority_prove_by_store (script->authority, number (command, 1),
+                                  ms (command, 2));
+  else if (is_word (command, 0, "proof-node"))
+    {
+      node = tou_name (word (command, 1));
+      tou_authority_prove_by_node (script->authority, &node,
+                                   number (command, 2), ms (command, 3));
+    }
+  else if (is_word (command, 0, "valid"))
+    put_yes (script, command->rest,
+             tou_authority_is_valid (script->authority,
+                                     (guint)number (command, 1),
+                                     ms (command, 2)));
+  else if (is_word (command, 0, "may-remove"))
+    put_yes (script, command->rest,
+             tou_authority_may_remove_node ((guint)number (command, 1),
+                                            (guint)number (command, 2),
+                                            ms (command, 3)));
+  else if (is_word (command, 0, "nodes-count"))
+    put_yes (script, command->rest,
+             tou_authority_nodes_count ((guint)number (command, 1),
+                                        (guint)number (command, 2),
+                                        ms (command, 3)));
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static TouLogPos
+position (const char *text)
+{
+  TouLogPos pos = { 0, 0 };
+
+  sscanf (text, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT, &pos.term,
+          &pos.position);
+  return pos;
+}
+
+static void
+set_values (TouSqlValues *values, const Command *command)
+{
+  tou_values_reset (values);
+  for (int i = 1; i < command->count; i++)
+    {
+      char **pair = g_strsplit (command->words[i], "=", 2);
+
+      tou_values_set (values, slice (pair[0]), slice (pair[1]));
+      g_strfreev (pair);
+    }
+}
+
+static void
+run_align (Script *script)
+{
+  TouValuesStep step;
+  guint i;
+
+  while ((step = tou_values_step (&script->have, &script->want, &i))
+         != TOU_VALUES_EQUAL)
+    {
+      const char *name;
+      const char *value;
+
+      if (step == TOU_VALUES_RESET)
+        {
+          g_string_append (script->out, "reset\n");
+          tou_values_reset (&script->have);
+          continue;
+        }
+      name = g_ptr_array_index (script->want.names, i);
+      value = g_ptr_array_index (script->want.values, i);
+      g_string_append_printf (script->out, "set %s=%s\n", name, value);
+      tou_values_set (&script->have, slice (name), slice (value));
+    }
+  g_string_append (script->out, "equal\n");
+}
+
+static gboolean
+run_link (Script *script, const Command *command)
+{
+  TouLogPos pos;
+
+  if (is_word (command, 0, "sample"))
+    tou_freshness_add (script->freshness, ms (command, 1),
+                       position (word (command, 2)));
+  else if (is_word (command, 0, "required"))
+    {
+      if (tou_freshness_required (script->freshness, ms (command, 1), &pos))
+        g_string_append_printf (script->out,
+                                "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\n",
+                                pos.term, pos.position);
+      else
+        g_string_append (script->out, "none\n");
+    }
+  else if (is_word (command, 0, "have"))
+    set_values (&script->have, command);
+  else if (is_word (command, 0, "want"))
+    set_values (&script->want, command);
+  else if (is_word (command, 0, "align"))
+    run_align (script);
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static gboolean
+run_window (Script *script, const Command *command)
+{
+  if (is_word (command, 0, "window"))
+    {
+      script->slots = (guint)number (command, 1);
+      tou_window_init (&script->window, script->slots);
+    }
+  else if (is_word (command, 0, "rtt"))
+    tou_window_round_trip (&script->window, ms (command, 1));
+  else if (is_word (command, 0, "answered"))
+    tou_window_answered (&script->window, ms (command, 1), ms (command, 2),
+                         script->slots, ms (command, 3));
+  else if (is_word (command, 0, "refused"))
+    tou_window_refused (&script->window, ms (command, 1));
+  else if (is_word (command, 0, "room"))
+    {
+      guint n = (guint)number (command, 1);
+
+      g_string_append_printf (
+          script->out, "%u in flight: %s, urgent %s\n", n,
+          tou_window_has_room (&script->window, n, FALSE) ? "room" : "full",
+          tou_window_has_room (&script->window, n, TRUE) ? "room" : "full");
+    }
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static void
+put_action (Script *script, const TouHandoverAction *action)
+{
+  switch (action->kind)
+    {
+    case TOU_HANDOVER_NONE:
+      g_string_append (script->out, "nothing");
+      break;
+    case TOU_HANDOVER_WRITE:
+      g_string_append_printf (
+          script->out, "write %s of term %" G_GUINT64_FORMAT "%s%s%s: %s",
+          action->record.primary.data, action->record.term,
+          action->record.moving ? " moving" : "",
+          action->record.candidate.len > 0 ? " to " : "",
+          action->record.candidate.data, action->reason);
+      break;
+    case TOU_HANDOVER_STEP_DOWN:
+      g_string_append_printf (script->out, "step down %s",
+                              action->endpoint.data);
+      break;
+    case TOU_HANDOVER_PROMOTE:
+      g_string_append_printf (script->out, "promote %s", action->endpoint.data);
+      break;
+    }
+  g_string_append_printf (script->out, " (%s)\n",
+                          tou_handover_step_name (script->handover));
+}
+
+static void
+set_endpoint (Script *script, const Command *command)
+{
+  TouHandoverEndpoint endpoint = { 0 };
+  TouHandoverView *view = &script->view;
+  guint i = 0;
+
+  endpoint.id = tou_name (word (command, 1));
+  endpoint.usable = is_word (command, 2, "usable");
+  endpoint.role
+      = is_word (command, 3, "primary") ? TOU_ROLE_PRIMARY : TOU_ROLE_REPLICA;
+  endpoint.term = number (command, 4);
+  endpoint.received = position (word (command, 5));
+  endpoint.status_us = ms (command, 6);
+  while (i < view->n_endpoints
+         && !tou_name_equal (&view->endpoints[i].id, &endpoint.id))
+    i++;
+  view->endpoints[i] = endpoint;
+  view->n_endpoints = MAX (view->n_endpoints, i + 1);
+}
+
+static gboolean
+run_handover (Script *script, const Command *command)
+{
+  TouHandoverView *view = &script->view;
+  TouHandoverAction action;
+
+  if (is_word (command, 0, "record"))
+    {
+      memset (&view->record, 0, sizeof view->record);
+      view->record.revision = number (command, 1);
+      view->record.term = number (command, 2);
+      view->record.primary = tou_name (word (command, 3));
+      view->record.moving = is_word (command, 4, "moving");
+      view->record.candidate = tou_name (word (command, 5));
+    }
+  else if (is_word (command, 0, "endpoint"))
+    set_endpoint (script, command);
+  else if (is_word (command, 0, "view"))
+    {
+      view->n_nodes = (guint)number (command, 1);
+      view->n_reporting = (guint)number (command, 2);
+      view->n_suspecting = (guint)number (command, 3);
+      view->n_acknowledged = (guint)number (command, 4);
+      view->primary_draining = is_word (command, 5, "draining");
+      view->primary_registered = !is_word (command, 5, "gone");
+    }
+  else if (is_word (command, 0, "step"))
+    {
+      tou_handover_step (script->handover, view, ms (command, 1), &action);
+      put_action (script, &action);
+    }
+  else if (is_word (command, 0, "written"))
+    tou_handover_written (script->handover, is_word (command, 1, "yes"),
+                          ms (command, 2));
+  else if (is_word (command, 0, "ordered"))
+    tou_handover_ordered (script->handover,
+                          is_word (command, 1, "done") ? TOU_HANDOVER_ORDERED
+                          : is_word (command, 1, "rejected")
+                              ? TOU_HANDOVER_REJECTED
+                              : TOU_HANDOVER_NO_ANSWER,
+                          ms (command, 2));
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static void
+run_line (Script *script, const char *line)
+{
+  char **words = g_strsplit (line, " ", MAX_WORDS);
+  const char *rest = strchr (line, ' ');
+  Command command
+      = { (int)g_strv_length (words), words, rest != NULL ? rest + 1 : "" };
+
+  if (!run_decoder (script, &command) && !run_authority (script, &command)
+      && !run_link (script, &command) && !run_window (script, &command)
+      && !run_handover (script, &command))
+    g_string_append_printf (script->out, "unknown command: %s\n", line);
+  g_strfreev (words);
+}
+
+GString *
+session_script_run (const char *text)
+{
+  Script script;
+  char **lines = g_strsplit (text, "\n", -1);
+
+  memset (&script, 0, sizeof script);
+  script.out = g_string_new (NULL);
+  tou_authority_create (&script.authority);
+  tou_freshness_create (&script.freshness);
+  tou_handover_create (&script.handover);
+  tou_values_init (&script.have);
+  tou_values_init (&script.want);
+  for (char **line = lines; *line != NULL; line++)
+    if ((*line)[0] != '\0' && (*line)[0] != '#')
+      run_line (&script, *line);
+  tou_authority_destroy (script.authority);
+  tou_freshness_destroy (script.freshness);
+  tou_handover_destroy (script.handover);
+  tou_values_clear (&script.have);
+  tou_values_clear (&script.want);
+  g_strfreev (lines);
+  return script.out;
+}
