Keep statements that wait when a change of primary ends

Heartbeats stay frequent for 0.5 s after a record is adopted, and a node is cut off only 0.4 s after that. The same log showed that an order to step down is dropped while a status question is under way; it is repeated until the old primary is a replica.

--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -5,6 +5,8 @@
 /* A replica of a primary that stepped down gets the last commits within its
    usual lag; more is a replica that receives nothing. */
 #define HANDOVER_CATCH_UP_US (800 * TOU_US_PER_MS)
+/* Pause before the old primary is told to step down again. */
+#define HANDOVER_STEP_DOWN_US (50 * TOU_US_PER_MS)
 /* A promotion takes 600 ms; an order without effect is repeated after this. */
 #define HANDOVER_PROMOTE_US (1500 * TOU_US_PER_MS)
 /* Pause after a write that failed or is in doubt. */
@@ -34,6 +36,7 @@
   guint64 quiet_us;     /* no node uses the old primary since */
   guint64 ordered_us;
   gboolean step_down_asked;
+  guint64 step_down_us;
   TouName candidate;
   TouName rejected;
   guint64 rejected_us;
@@ -213,6 +216,33 @@
   return TRUE;
 }
 
+static void
+handover_step_down (TouHandover *handover, const TouHandoverEndpoint *primary,
+                    guint64 now_us, TouHandoverAction *out)
+{
+  handover->step_down_asked = TRUE;
+  handover->step_down_us = now_us;
+  out->kind = TOU_HANDOVER_STEP_DOWN;
+  out->endpoint = primary->id;
+  out->reason = "no node uses it";
+}
+
+/* The order may be lost, or the database busy with another question. */
+static gboolean
+handover_step_down_again (TouHandover *handover, const TouHandoverView *view,
+                          guint64 now_us, TouHandoverAction *out)
+{
+  const TouHandoverEndpoint *primary
+      = handover_endpoint (view, &view->record.primary);
+
+  if (!handover->step_down_asked || primary == NULL || !primary->usable
+      || primary->role != TOU_ROLE_PRIMARY
+      || now_us < handover->step_down_us + HANDOVER_STEP_DOWN_US)
+    return FALSE;
+  handover_step_down (handover, primary, now_us, out);
+  return TRUE;
+}
+
 static void
 handover_quiesce (TouHandover *handover, const TouHandoverView *view,
                   guint64 now_us, TouHandoverAction *out)
@@ -232,15 +262,10 @@
   if (view->n_acknowledged < view->n_nodes
       && now_us < handover->majority_us + TOU_AUTHORITY_VALID_US)
     return;
-  if (primary != NULL && primary->usable && !handover->step_down_asked)
-    {
-      handover->step_down_asked = TRUE;
-      out->kind = TOU_HANDOVER_STEP_DOWN;
-      out->endpoint = primary->id;
-      out->reason = "no node uses it";
-    }
   handover->quiet_us = now_us;
   handover->step = HANDOVER_CHOOSE;
+  if (primary != NULL && primary->usable)
+    handover_step_down (handover, primary, now_us, out);
 }
 
 /* The replica with the newest log among those that answered since. */
@@ -276,8 +301,8 @@
   return best;
 }
 
-/* TRUE while the old primary, which stepped down, has commits that @a best
-   lacks and may still get. */
+/* TRUE while the old primary has not stepped down yet, or has commits that
+   @a best lacks and may still get. */
 static gboolean
 handover_must_catch_up (const TouHandover *handover,
                         const TouHandoverView *view,
@@ -290,6 +315,7 @@
       || now_us >= handover->quiet_us + HANDOVER_CATCH_UP_US)
     return FALSE;
   return primary->status_us < handover->quiet_us
+         || primary->role == TOU_ROLE_PRIMARY
          || tou_log_pos_compare (best->received, primary->received) < 0;
 }
 
@@ -301,7 +327,8 @@
   const TouHandoverEndpoint *best;
   TouGroupRecord record = view->record;
 
-  if (handover_publish (handover, view, NULL, out))
+  if (handover_publish (handover, view, NULL, out)
+      || handover_step_down_again (handover, view, now_us, out))
     return;
   best = handover_best (handover, view, now_us, &waiting);
   if (best == NULL
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -8,8 +8,10 @@
 
 /* Heartbeats prove that a primary may be used for 1 s; four may be lost. */
 #define PEERS_INTERVAL_US (200 * TOU_US_PER_MS)
-/* While a group's primary is changed, its steps wait for heartbeats. */
+/* While a group's primary is changed, its steps wait for heartbeats, and so
+   does the use of the new primary for a moment. */
 #define PEERS_URGENT_US (50 * TOU_US_PER_MS)
+#define PEERS_URGENT_FOR_US (500 * TOU_US_PER_MS)
 /* A node is reporting if it was heard from within four heartbeats. */
 #define PEERS_REPORTING_US (1000 * TOU_US_PER_MS)
 #define PEERS_VERSION 1
@@ -290,6 +292,13 @@
   msgpack_unpacked_destroy (&unpacked);
 }
 
+static gboolean
+peers_is_urgent (const TouGroup *group, guint64 now_us)
+{
+  return tou_authority_record (group->authority)->moving
+         || now_us < group->adopted_us + PEERS_URGENT_FOR_US;
+}
+
 void
 tou_peers_tick (TouPeers *peers, guint64 now_us)
 {
@@ -300,7 +309,7 @@
 
   g_hash_table_iter_init (&iter, proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (tou_authority_record (((TouGroup *)value)->authority)->moving)
+    if (peers_is_urgent (value, now_us))
       interval_us = PEERS_URGENT_US;
   if (!proxy->record_changed && now_us < peers->next_us + interval_us)
     return;
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -35,6 +35,8 @@
 #define PROXY_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
 /* A primary that half of the nodes cannot reach is replaced by then. */
 #define PROXY_SUSPECT_US (700 * TOU_US_PER_MS)
+/* Time for the proofs of a new record: two heartbeats and a lost one. */
+#define PROXY_PROOF_US (400 * TOU_US_PER_MS)
 /* A node without proofs for this long reports itself not ready. */
 #define PROXY_ISOLATED_US (200 * TOU_US_PER_MS)
 /* Interval of the lines with a group's load. */
@@ -182,6 +184,7 @@
       group->finish_until_us
           = record->moving ? MIN (now_us + PROXY_FINISH_US, valid_until_us) : 0;
     }
+  group->adopted_us = now_us;
   group->proxy->record_changed = TRUE;
   tou_evlog (TOU_EVLOG_STATE, "group_record",
              "\"group\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
@@ -205,7 +208,8 @@
     return "no primary; retry after 1000 ms";
   if (record->revision == 0 || record->moving)
     return NULL;
-  if (now_us < group->no_primary_us + PROXY_ISOLATED_US)
+  /* The first proofs of a record arrive with the next heartbeats. */
+  if (now_us < MAX (group->no_primary_us, group->adopted_us) + PROXY_PROOF_US)
     return NULL;
   if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
     return "this node is cut off; retry at another one";
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -101,6 +101,7 @@
   gboolean dispatching;
   guint64 logged_us;       /**< last line with its load */
   TouName old_primary;     /**< while a change is under way */
+  guint64 adopted_us;      /**< when the record was adopted */
   guint64 finish_until_us; /**< its open transactions may end until then */
   guint64 no_primary_us;   /**< since when none may be used; 0: one may */
 };
--- a/src/session/stream.h
+++ b/src/session/stream.h
@@ -16,7 +16,11 @@
 /** Shared read buffer: the loop reads one stream at a time. */
 void tou_stream_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf);
 
-/** Parses "ip:port"; port 0 lets the system choose. @return TOU_E_SETTING_INVALID with a message */
+/**
+ * Parses "ip:port"; port 0 lets the system choose.
+ *
+ * @return TOU_E_SETTING_INVALID with a message
+ */
 int tou_stream_address (struct sockaddr_in *out, const TouName *address);
 
 /** Sets no-delay and a bound on unacknowledged data. */
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -34,6 +34,7 @@
   TouRouting *routing;   /* next version, collects routes */
   TouGroup *group;
   guint64 next_id;
+  gboolean unproved; /* the record is not proved for now */
   GString *out;
 } Script;
 
@@ -43,7 +44,7 @@
   Script *script = timer->data;
   guint64 now_us = tou_clock_us ();
 
-  if (script->group != NULL)
+  if (script->group != NULL && !script->unproved)
     tou_authority_prove_by_store (
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
@@ -251,7 +252,7 @@
   record.primary = tou_name (words[3]);
   record.moving = strcmp (words[4], "moving") == 0;
   tou_group_adopt (script->group, &record, "script");
-  if (!record.moving)
+  if (!record.moving && !script->unproved)
     run_until (script, position_is_known, NULL);
 }
 
@@ -358,6 +359,15 @@
   return TRUE;
 }
 
+static void
+run_sleep (Script *script, guint64 time_us)
+{
+  guint64 end_us = tou_clock_us () + time_us;
+
+  while (tou_clock_us () < end_us)
+    uv_run (&script->loop, UV_RUN_ONCE);
+}
+
 static void
 run_line (Script *script, const char *line)
 {
@@ -376,6 +386,10 @@
     run_open (script, words);
   else if (strcmp (words[0], "trace") == 0)
     run_trace (script);
+  else if (strcmp (words[0], "prove") == 0)
+    script->unproved = strcmp (words[1], "off") == 0;
+  else if (strcmp (words[0], "sleep") == 0)
+    run_sleep (script, strtoull (words[1], NULL, 10) * TOU_US_PER_MS);
   else if (!run_on_database (script, words, rest)
            && !run_on_caller (script, words, rest))
     g_string_append (script->out, "unknown command\n");
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -12,10 +12,12 @@
  *     wait CALLER                   waits for READY
  *     leave CALLER                  closes the connection
  *     fail ID CODE    drop ID    hold ID    resume ID
+ *     prove on|off                  whether the record counts as proved
+ *     sleep MS                      runs the loop
  *     until ID TEXT                 waits until the database has got TEXT
  *     trace                         prints callers' statements at the databases
  *
- * Statements get the ids 1, 2, ... A record counts as proved from then on.
+ * Statements get the ids 1, 2, ...
  */
 #pragma once
 
