Let reads wait for lagging replicas, and pause before crowded databases

A read that a replica refused as too far behind could only go to the primary afterwards; it now waits for whichever is ready first. Eight nodes with a window of one kept eight statements at two slots; a window may fall below one, and the time that a database may hold a statement is an eighth of the strictest objective instead of a fifth.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -266,6 +266,16 @@
   return TRUE;
 }
 
+/* The replica lacked the position; it is asked again after a pause, as it
+   catches up, unless the primary has room before. */
+static void
+client_wait_for_replica (TouClient *client, TouEndpoint *endpoint)
+{
+  client->request.attempts--;
+  tou_dispatch_lacked (endpoint, client->request.after, tou_clock_us ());
+  client_queue (client);
+}
+
 static void
 client_served (TouClient *client, TouEndpoint *endpoint,
                const TouTaskResult *result, gboolean commit)
@@ -279,6 +289,7 @@
     bucket++;
   client->proxy->latency[client->route.rank][bucket]++;
   TOU_COUNT (client->proxy, SERVED);
+  endpoint->lacked_pause_us = 0;
   if ((commit && client->wrote) || (!commit && request->task.may_commit))
     {
       client->seen_group = endpoint->group->name;
@@ -322,8 +333,11 @@
                      || result->error == TOU_SQL_E_READ_ONLY
                      || result->error == TOU_SQL_E_UNKNOWN_STATEMENT;
 
-  if (result->error == TOU_SQL_E_LAGGING)
-    tou_dispatch_lacked (endpoint, request->after, tou_clock_us ());
+  if (result->error == TOU_SQL_E_LAGGING && client->state == TOU_SQL_STATE_IDLE)
+    {
+      client_wait_for_replica (client, endpoint);
+      return;
+    }
   if (result->error == TOU_SQL_E_BUSY)
     tou_window_refused (&endpoint->window, tou_clock_us ());
   /* Outside a transaction nothing else depends on where it runs. */
@@ -363,11 +377,14 @@
   TouClientRequest *request = &client->request;
   gboolean first = client->state != TOU_SQL_STATE_OPEN || request->task.begin;
 
-  if (result->error == TOU_SQL_E_LAGGING)
-    tou_dispatch_lacked (endpoint, request->after, tou_clock_us ());
   if (first)
     {
       client_drop_link (client);
+      if (result->error == TOU_SQL_E_LAGGING)
+        {
+          client_wait_for_replica (client, endpoint);
+          return;
+        }
       if (client_retry (client, endpoint))
         return;
     }
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -3,9 +3,10 @@
 #include "client.h"
 
 /* A replica that lacked a position is asked for it again after this pause,
-   which doubles up to the maximum: its lag is not known. */
+   which doubles up to the maximum: its lag is not known. A question costs a
+   round trip and no slot. */
 #define DISPATCH_LACK_MIN_US (20 * TOU_US_PER_MS)
-#define DISPATCH_LACK_MAX_US (320 * TOU_US_PER_MS)
+#define DISPATCH_LACK_MAX_US (80 * TOU_US_PER_MS)
 /* Reads go to the primary only if it answers this many times faster than a
    replica: its slots are the only ones for writes. */
 #define DISPATCH_PRIMARY_FACTOR 2
@@ -40,7 +41,6 @@
 {
   TouEndpoint *idle; /* best one with an idle link */
   TouEndpoint *any;  /* best one */
-  guint n_possible;  /* that could serve it now or later */
 } DispatchChoice;
 
 /* @a request NULL: any read that a replica may serve. */
@@ -67,8 +67,8 @@
         continue;
       if (endpoint == primary)
         cost_us *= DISPATCH_PRIMARY_FACTOR;
-      out->n_possible++;
-      if (!tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent))
+      if (!tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
+                                now_us))
         continue;
       if (cost_us < any_cost_us)
         {
@@ -101,13 +101,14 @@
     return;
   while (tou_queue_length (group->writes) > 0)
     {
-      gboolean urgent
-          = !tou_window_has_room (&primary->window, primary->n_busy, FALSE);
+      gboolean urgent = !tou_window_has_room (&primary->window, primary->n_busy,
+                                              FALSE, now_us);
       TouLink *link = tou_endpoint_idle_link (primary, NULL);
       TouQueueItem *item;
 
       if (urgent
-          && !tou_window_has_room (&primary->window, primary->n_busy, TRUE))
+          && !tou_window_has_room (&primary->window, primary->n_busy, TRUE,
+                                   now_us))
         return;
       if (link == NULL)
         {
@@ -121,21 +122,6 @@
     }
 }
 
-/* A read that no replica can serve now goes to the primary; without one it
-   waits. */
-static void
-dispatch_without_replica (TouClient *client, const TouEndpoint *primary,
-                          GPtrArray *deferred)
-{
-  if (primary == NULL)
-    {
-      g_ptr_array_add (deferred, client);
-      return;
-    }
-  client->request.needs_primary = TRUE;
-  tou_client_requeue (client);
-}
-
 static void
 dispatch_reads (TouGroup *group, guint64 now_us)
 {
@@ -172,10 +158,7 @@
         }
       if (deferred == NULL)
         deferred = g_ptr_array_new ();
-      if (choice.n_possible > 0)
-        g_ptr_array_add (deferred, client);
-      else
-        dispatch_without_replica (client, primary, deferred);
+      g_ptr_array_add (deferred, client);
     }
   for (guint i = 0; deferred != NULL && i < deferred->len; i++)
     tou_client_requeue (g_ptr_array_index (deferred, i));
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -29,7 +29,7 @@
 
 /* A database may hold a statement for this part of the strictest objective:
    an operation has several statements and round trips. */
-#define PROXY_TARGET_SHARE 5
+#define PROXY_TARGET_SHARE 8
 /* What needs the primary is refused at once when none could be used for this
    long: a change of primary takes about 2 s. */
 #define PROXY_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
--- a/src/session/window.c
+++ b/src/session/window.c
@@ -7,7 +7,11 @@
 #define WINDOW_REFUSED_FACTOR 0.5
 /* At most one reduction in the time that its effect takes to show. */
 #define WINDOW_PAUSE_US (60 * TOU_US_PER_MS)
-#define WINDOW_MIN 1.0
+/* Many nodes before one database send less than one statement at a time. */
+#define WINDOW_MIN 0.2
+/* Growth with each answer in time, so that one round of them widens the window
+   by half a statement. */
+#define WINDOW_GROWTH 0.5
 /* Beyond the slots: one statement on its way there, one on its way back. */
 #define WINDOW_EXTRA 2
 /* Statements of the most urgent rank that may exceed the window. */
@@ -20,6 +24,7 @@
   window->rtt_us = 0;
   window->held_us = 0;
   window->reduced_us = 0;
+  window->resume_us = 0;
 }
 
 void
@@ -49,8 +54,11 @@
   if (window->held_us > target_us)
     window_reduce (window, WINDOW_SLOW_FACTOR, now_us);
   else
-    window->size
-        = MIN (window->size + 1 / window->size, (double)slots + WINDOW_EXTRA);
+    window->size = MIN (window->size + WINDOW_GROWTH / MAX (window->size, 1),
+                        (double)slots + WINDOW_EXTRA);
+  window->resume_us = now_us;
+  if (window->size < 1)
+    window->resume_us += (guint64)((double)held_us * (1 / window->size - 1));
 }
 
 void
@@ -61,7 +69,11 @@
 
 gboolean
 tou_window_has_room (const TouWindow *window, guint n_in_flight,
-                     gboolean urgent)
+                     gboolean urgent, guint64 now_us)
 {
-  return n_in_flight < (guint)window->size + (urgent ? WINDOW_URGENT_EXTRA : 0);
+  guint room = (guint)MAX (window->size, 1);
+
+  if (urgent)
+    return n_in_flight < room + WINDOW_URGENT_EXTRA;
+  return n_in_flight < room && now_us >= window->resume_us;
 }
--- a/src/session/window.h
+++ b/src/session/window.h
@@ -15,7 +15,8 @@
 
 typedef struct
 {
-  double size;        /**< statements in flight */
+  double size;        /**< statements in flight; below 1, one with pauses */
+  guint64 resume_us;  /**< size below 1: no further statement before */
   guint64 rtt_us;     /**< shortest round trip seen; 0: none */
   guint64 held_us;    /**< moving average of the time in the database */
   guint64 reduced_us; /**< when it was reduced last */
@@ -41,6 +42,6 @@
 
 /** TRUE if another statement may be sent; urgent ones get extra room. */
 gboolean tou_window_has_room (const TouWindow *window, guint n_in_flight,
-                              gboolean urgent);
+                              gboolean urgent, guint64 now_us);
 
 G_END_DECLS
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -63,7 +63,6 @@
       uv_read_stop (stream);
       return;
     }
-  line = caller->in->str + caller->in->len;
   g_string_append_len (caller->in, buf->base, n);
   line = caller->in->str;
   caller->n_ready = 0;
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -407,8 +407,12 @@
 
       g_string_append_printf (
           script->out, "%u in flight: %s, urgent %s\n", n,
-          tou_window_has_room (&script->window, n, FALSE) ? "room" : "full",
-          tou_window_has_room (&script->window, n, TRUE) ? "room" : "full");
+          tou_window_has_room (&script->window, n, FALSE, ms (command, 2))
+              ? "room"
+              : "full",
+          tou_window_has_room (&script->window, n, TRUE, ms (command, 2))
+              ? "room"
+              : "full");
     }
   else
     return FALSE;
--- a/tests/support/session-script.h
+++ b/tests/support/session-script.h
@@ -10,7 +10,7 @@
  *     sample T TERM.POSITION                required T
  *     have NAME=VALUE...   want NAME=VALUE...   align
  *     window SLOTS    rtt T    answered TAKEN TARGET AT    refused AT
- *     room IN_FLIGHT
+ *     room IN_FLIGHT AT
  *     record REVISION TERM PRIMARY steady|moving [CANDIDATE]
  *     endpoint ID usable|silent primary|replica TERM POSITION ASKED
  *     view NODES REPORTING SUSPECTING QUIET [draining|gone]
--- a/tests/test-session.c
+++ b/tests/test-session.c
@@ -60,30 +60,37 @@
   return names;
 }
 
+static int
+print_run (const char *name)
+{
+  char *script = read_file (name, ".run");
+  GString *transcript = session_script_run (script);
+
+  fputs (transcript->str, stdout);
+  g_string_free (transcript, TRUE);
+  g_free (script);
+  return 0;
+}
+
 int
 main (int argc, char **argv)
 {
-  GPtrArray *names = list_runs ();
-  struct CMUnitTest *tests = g_new0 (struct CMUnitTest, names->len);
-  int failed;
+  GPtrArray *names;
+  struct CMUnitTest *tests;
+  int failed = 1;
 
   if (argc > 1)
-    {
-      char *script = read_file (argv[1], ".run");
-      GString *transcript = session_script_run (script);
-
-      fputs (transcript->str, stdout);
-      return 0;
-    }
+    return print_run (argv[1]);
+  names = list_runs ();
+  tests = g_new0 (struct CMUnitTest, names->len);
   for (guint i = 0; i < names->len; i++)
     {
       tests[i].name = g_ptr_array_index (names, i);
       tests[i].test_func = test_run;
       tests[i].initial_state = g_ptr_array_index (names, i);
     }
-  failed = names->len == 0 ? 1
-                           : _cmocka_run_group_tests ("session", tests,
-                                                      names->len, NULL, NULL);
+  if (names->len > 0)
+    failed = _cmocka_run_group_tests ("session", tests, names->len, NULL, NULL);
   g_free (tests);
   g_ptr_array_unref (names);
   return failed;
