Know a lost position and a lost log

Cause, found by reading and shown by two scripted runs that failed before: an answer to a write that is complete but cut off before its position left the session without the position of its own commit, so a replica without the commit could serve its next read; and a primary that starts anew under its id with an empty log was read from until the registry said so. Session reads go to the primary until a position is known again; a recorded primary whose log is behind what it had shown when the connection was opened is not used and counts as failed for the change of primary.

Ruled out: comparing with the newest position instead, because answers of different connections overtake each other.

Request lines name the group.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -121,14 +121,14 @@
     record = tou_authority_record (endpoint->group->authority);
   tou_evlog (
       class, event,
-      "\"request\":\"%s\",\"database\":\"%s\",\"rank\":%d,"
+      "\"request\":\"%s\",\"database\":\"%s\",\"group\":\"%s\",\"rank\":%d,"
       "\"outcome\":\"%s\",\"reason\":\"%s\",\"endpoint\":\"%s\","
       "\"ms\":%" G_GUINT64_FORMAT ",\"sent_ms\":%" G_GUINT64_FORMAT
       ",\"attempts\":%u,\"txn\":%s,\"config\":%" G_GUINT64_FORMAT
       ",\"term\":%" G_GUINT64_FORMAT ",\"after\":\"%" G_GUINT64_FORMAT
       ".%" G_GUINT64_FORMAT "\"",
       tou_evlog_text (id, sizeof id, client->id), client->database.data,
-      (int)client->route.rank, outcome, reason,
+      client->route.group.data, (int)client->route.rank, outcome, reason,
       endpoint != NULL ? endpoint->info.id.data : "",
       (now_us - request->arrived_us) / TOU_US_PER_MS,
       request->task.sent_us == 0
@@ -195,7 +195,8 @@
       = request->arrived_us - MIN (route->max_age_us, request->arrived_us);
 
   memset (&request->after, 0, sizeof request->after);
-  if (route->mode == TOU_READ_FRESH || request->writes)
+  if (route->mode == TOU_READ_FRESH || request->writes
+      || (route->mode == TOU_READ_SESSION && client->seen_unknown))
     return FALSE;
   if (route->max_age_us > 0
       && !tou_freshness_required (group->freshness, since_us, &request->after))
@@ -294,6 +295,7 @@
     {
       client->seen_group = endpoint->group->name;
       client->seen = result->pos;
+      client->seen_unknown = result->pos.term == 0;
     }
   if (commit)
     {
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -38,13 +38,14 @@
   TouSqlValues values;
   GHashTable *prepared; /**< caller's name to TouPrepared */
   TouSqlState state;
-  gboolean read_only; /**< of the open transaction */
-  gboolean wrote;     /**< the open transaction has sent a write */
-  gboolean txn_lost;  /**< its link ended while no statement ran */
-  TouLink *link;      /**< pinned by the open transaction */
-  TouRoute route;     /**< of the running statement or transaction */
-  TouName seen_group; /**< group of the position */
-  TouLogPos seen;     /**< last commit of the session */
+  gboolean read_only;    /**< of the open transaction */
+  gboolean wrote;        /**< the open transaction has sent a write */
+  gboolean txn_lost;     /**< its link ended while no statement ran */
+  TouLink *link;         /**< pinned by the open transaction */
+  TouRoute route;        /**< of the running statement or transaction */
+  TouName seen_group;    /**< group of the position */
+  gboolean seen_unknown; /**< it has committed at a position that got lost */
+  TouLogPos seen;        /**< last commit of the session */
   guint64 idle_since_us;
   gboolean busy; /**< a statement is queued or running */
   TouSlice id;   /**< of the statement; in text */
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -97,7 +97,7 @@
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
 
-  if (primary == NULL || primary->silent_us != 0)
+  if (primary == NULL || tou_endpoint_has_failed (primary))
     return;
   while (tou_queue_length (group->writes) > 0)
     {
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -33,6 +33,22 @@
   endpoint->heard_us = now_us;
 }
 
+void
+tou_endpoint_check_log (TouEndpoint *endpoint, TouLogPos pos, TouLogPos known)
+{
+  if (endpoint->lost_log
+      || endpoint != tou_group_recorded_primary (endpoint->group)
+      || tou_log_pos_compare (pos, known) >= 0)
+    return;
+  endpoint->lost_log = TRUE;
+  tou_evlog (
+      TOU_EVLOG_STATE, "endpoint_lost_log",
+      "\"endpoint\":\"%s\",\"group\":\"%s\",\"position\":%" G_GUINT64_FORMAT
+      ",\"before\":%" G_GUINT64_FORMAT,
+      endpoint->info.id.data, endpoint->group->name.data, pos.position,
+      known.position);
+}
+
 void
 tou_endpoint_silent (TouEndpoint *endpoint, const char *reason, guint64 now_us)
 {
@@ -112,11 +128,17 @@
   return count;
 }
 
+gboolean
+tou_endpoint_has_failed (const TouEndpoint *endpoint)
+{
+  return endpoint->silent_us != 0 || endpoint->lost_log;
+}
+
 gboolean
 tou_endpoint_is_usable (const TouEndpoint *endpoint)
 {
   return !endpoint->gone && !endpoint->info.draining
-         && endpoint->silent_us == 0;
+         && !tou_endpoint_has_failed (endpoint);
 }
 
 /* The other half is for bursts, and for a restart of all nodes: the databases
@@ -280,6 +302,8 @@
   if (!reborn)
     return;
   memset (&endpoint->status, 0, sizeof endpoint->status);
+  memset (&endpoint->known, 0, sizeof endpoint->known);
+  endpoint->lost_log = endpoint == tou_group_recorded_primary (endpoint->group);
   endpoint->status_us = 0;
   endpoint->open_after_us = 0;
   endpoint->silent_us = 0;
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -36,6 +36,7 @@
   gboolean spoiled; /* a step failed; the statement behind it counts as lost */
   gboolean closed;
   gboolean in_txn;
+  TouLogPos known;  /* endpoint's position when the link was opened */
   guint64 since_us; /* opened, or idle since */
   TouTask *task;
   TouClient *client; /* pinned by its transaction */
@@ -65,6 +66,10 @@
 /** The endpoint has sent something. */
 void tou_endpoint_heard (TouEndpoint *endpoint, guint64 now_us);
 
+/** Notices a primary whose log is at @a pos, behind @a known from before. */
+void tou_endpoint_check_log (TouEndpoint *endpoint, TouLogPos pos,
+                             TouLogPos known);
+
 /** The endpoint does not answer. */
 void tou_endpoint_silent (TouEndpoint *endpoint, const char *reason,
                           guint64 now_us);
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -296,6 +296,8 @@
   TouEndpoint *endpoint = link->endpoint;
   LinkStep step;
 
+  if (link->state == LINK_STARTING)
+    tou_endpoint_check_log (endpoint, reply->pos, link->known);
   if (tou_log_pos_compare (reply->pos, endpoint->known) > 0)
     endpoint->known = reply->pos;
   if (link->state == LINK_STARTING)
@@ -445,6 +447,7 @@
   link = g_new0 (TouLink, 1);
   link->endpoint = endpoint;
   link->since_us = now_us;
+  link->known = endpoint->known;
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -70,6 +70,7 @@
   guint64 latency_us;    /**< moving average of a statement's answer */
   guint64 heard_us;      /**< last bytes received */
   guint64 open_after_us; /**< no new link before */
+  gboolean lost_log;     /**< started anew with less than it had */
   guint64 silent_us;     /**< since when it does not answer; 0: it does */
   TouLogPos known;       /**< newest position that it has shown */
   TouLogPos lacked;      /**< position that it lacked lately */
@@ -88,6 +89,9 @@
 /** Adopts new information; another life of the id closes all links. */
 void tou_endpoint_update (TouEndpoint *endpoint, const TouEndpointInfo *info);
 
+/** TRUE if it does not answer, or has lost the log that it led with. */
+gboolean tou_endpoint_has_failed (const TouEndpoint *endpoint);
+
 /** TRUE if new work may be sent to it. */
 gboolean tou_endpoint_is_usable (const TouEndpoint *endpoint);
 
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -122,7 +122,8 @@
   pack_name (packer, &record->primary);
   msgpack_pack_uint64 (packer, record->moving);
   pack_name (packer, &record->candidate);
-  msgpack_pack_uint64 (packer, primary != NULL && primary->silent_us != 0);
+  msgpack_pack_uint64 (packer,
+                       primary != NULL && tou_endpoint_has_failed (primary));
   msgpack_pack_uint64 (packer, tou_group_is_quiet (group, now_us));
 }
 
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -124,8 +124,10 @@
   if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
     return NULL;
   primary = tou_group_recorded_primary (group);
-  return primary == NULL || endpoint_has_left (primary, now_us) ? NULL
-                                                                : primary;
+  if (primary == NULL || primary->lost_log
+      || endpoint_has_left (primary, now_us))
+    return NULL;
+  return primary;
 }
 
 gboolean
@@ -150,7 +152,7 @@
     return TRUE;
   primary = tou_group_recorded_primary (group);
   /* Nothing ends at a primary that does not answer. */
-  return primary == NULL || primary->silent_us != 0
+  return primary == NULL || tou_endpoint_has_failed (primary)
          || tou_endpoint_writes_in_flight (primary) == 0;
 }
 
@@ -162,6 +164,14 @@
     tou_freshness_add (group->freshness, sent_us, pos);
 }
 
+/* A database that lost its log is copied from the new primary. */
+static void
+group_forgive (TouGroup *group)
+{
+  for (guint i = 0; i < group->endpoints->len; i++)
+    ((TouEndpoint *)g_ptr_array_index (group->endpoints, i))->lost_log = FALSE;
+}
+
 void
 tou_group_adopt (TouGroup *group, const TouGroupRecord *record,
                  const char *source)
@@ -185,6 +195,8 @@
           = record->moving ? MIN (now_us + PROXY_FINISH_US, valid_until_us) : 0;
     }
   group->adopted_us = now_us;
+  if (!tou_name_equal (&old_primary, &record->primary))
+    group_forgive (group);
   group->proxy->record_changed = TRUE;
   tou_evlog (TOU_EVLOG_STATE, "group_record",
              "\"group\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
@@ -214,8 +226,9 @@
   if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
     return "this node is cut off; retry at another one";
   primary = tou_group_recorded_primary (group);
-  if (primary != NULL && primary->silent_us != 0
-      && now_us >= primary->silent_us + PROXY_SUSPECT_US)
+  if (primary != NULL && tou_endpoint_has_failed (primary)
+      && now_us >= MAX (primary->silent_us, group->no_primary_us)
+                       + PROXY_SUSPECT_US)
     return "primary is not reachable from this node; retry at another one";
   return NULL;
 }
@@ -424,7 +437,7 @@
 group_tick (TouGroup *group, guint64 now_us)
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
-  gboolean usable = primary != NULL && primary->silent_us == 0;
+  gboolean usable = primary != NULL && !tou_endpoint_has_failed (primary);
   const char *refusal;
 
   if (usable)
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -18,10 +18,12 @@
   TouLogPos pos;
   char *failure;
   gboolean drop;
+  gboolean cut;
   gboolean hold;
   GString *held;        /* answer that waits */
   uv_stream_t *held_by; /* connection that it is for */
   GString *trace;
+  GPtrArray *connections;
 };
 
 typedef struct
@@ -50,6 +52,7 @@
 static void
 close_connection (Connection *connection)
 {
+  g_ptr_array_remove_fast (connection->database->connections, connection);
   if (!uv_is_closing ((uv_handle_t *)&connection->tcp))
     uv_close ((uv_handle_t *)&connection->tcp, on_closed);
 }
@@ -242,6 +245,14 @@
     }
   else
     run_text (connection, id, text, out);
+  if (!own && database->cut)
+    {
+      database->cut = FALSE;
+      tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+      close_connection (connection);
+      g_string_free (out, TRUE);
+      return;
+    }
   put_ready (connection, out);
   if (!own && database->drop)
     {
@@ -319,6 +330,7 @@
 
   (void)status;
   connection->database = server->data;
+  g_ptr_array_add (connection->database->connections, connection);
   connection->in = g_string_new (NULL);
   connection->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -340,6 +352,7 @@
   database->pos.term = 1;
   database->pos.position = 1;
   database->trace = g_string_new (NULL);
+  database->connections = g_ptr_array_new ();
   uv_ip4_addr ("127.0.0.1", 0, &address);
   uv_tcp_init (loop, &database->listener);
   database->listener.data = database;
@@ -376,6 +389,19 @@
   database->drop = TRUE;
 }
 
+void
+line_database_restart (LineDatabase *database)
+{
+  while (database->connections->len > 0)
+    close_connection (g_ptr_array_index (database->connections, 0));
+}
+
+void
+line_database_cut (LineDatabase *database)
+{
+  database->cut = TRUE;
+}
+
 void
 line_database_hold (LineDatabase *database)
 {
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -27,6 +27,12 @@
 /** The next statement of a caller runs, and the connection is closed. */
 void line_database_drop (LineDatabase *database);
 
+/** Closes all connections, as a database that crashes and starts again. */
+void line_database_restart (LineDatabase *database);
+
+/** The next statement's answer ends before READY, and the connection closes. */
+void line_database_cut (LineDatabase *database);
+
 /** The next statement is answered after line_database_resume() only. */
 void line_database_hold (LineDatabase *database);
 void line_database_resume (LineDatabase *database);
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -325,6 +325,10 @@
     line_database_fail (database, words[2]);
   else if (strcmp (words[0], "drop") == 0)
     line_database_drop (database);
+  else if (strcmp (words[0], "cut") == 0)
+    line_database_cut (database);
+  else if (strcmp (words[0], "restart") == 0)
+    line_database_restart (database);
   else if (strcmp (words[0], "hold") == 0)
     line_database_hold (database);
   else if (strcmp (words[0], "resume") == 0)
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -11,7 +11,8 @@
  *     send CALLER TEXT              sends a statement
  *     wait CALLER                   waits for READY
  *     leave CALLER                  closes the connection
- *     fail ID CODE    drop ID    hold ID    resume ID
+ *     fail ID CODE    drop ID    cut ID    restart ID
+ *     hold ID    resume ID
  *     prove on|off                  whether the record counts as proved
  *     sleep MS                      runs the loop
  *     until ID TEXT                 waits until the database has got TEXT
