--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -18,7 +18,7 @@
 #define PROXY_BACKLOG 512
 /* The position of the primary is asked for when no statement has shown it for
    this long; replicas need one that is a few hundred ms old. */
-#define PROXY_SAMPLE_US (400 * TOU_US_PER_MS)
+#define PROXY_SAMPLE_US (600 * TOU_US_PER_MS)
 /* Time that open transactions get at a primary that is being replaced. */
 #define PROXY_FINISH_US (300 * TOU_US_PER_MS)
 /* The platform sends no new connections after two missed checks, a second
