Bound sessions by descriptors, and share the runner of scripted tests

Cause: a flood of sessions could take the descriptors that the databases' connections need; a session beyond the limit gets the code for too many connections.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -763,9 +763,12 @@
 static void
 client_on_startup (TouClient *client, const TouSqlCallerMessage *message)
 {
-  if (tou_name_set (&client->database, message->database.data,
-                    message->database.len)
-      != TOU_OK)
+  if (client->proxy->clients.length > tou_proxy_session_limit (client->proxy))
+    client_reject (client, TOU_SQL_E_TOO_MANY_CONNECTIONS,
+                   "too many sessions on this node; retry at another one");
+  else if (tou_name_set (&client->database, message->database.data,
+                         message->database.len)
+           != TOU_OK)
     client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
   else if (client->proxy->routing != NULL)
     client_admit (client);
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -16,6 +16,9 @@
 #define PROXY_STATUS_FLOOR 5
 /* Connections that wait to be accepted: all sessions of a VM that is lost. */
 #define PROXY_BACKLOG 512
+/* Descriptors kept for databases, the store, HTTP and the event loop: half of
+   the connections of nine databases with 32 each, and a margin. */
+#define PROXY_OTHER_DESCRIPTORS 256
 /* The position of the primary is asked for when no statement has shown it for
    this long; replicas need one that is a few hundred ms old. */
 #define PROXY_SAMPLE_US (600 * TOU_US_PER_MS)
@@ -335,6 +338,14 @@
                uv_strerror (status));
 }
 
+guint
+tou_proxy_session_limit (const TouProxy *proxy)
+{
+  guint descriptors = proxy->site.max_descriptors;
+
+  return descriptors - MIN (descriptors, PROXY_OTHER_DESCRIPTORS);
+}
+
 int
 tou_proxy_listen (TouProxy *proxy)
 {
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -141,6 +141,8 @@
 
 int tou_proxy_create (TouProxy **out, uv_loop_t *loop, const TouSite *site);
 void tou_proxy_destroy (TouProxy *proxy);
+/** Most sessions at a time, from the process's descriptors. */
+guint tou_proxy_session_limit (const TouProxy *proxy);
 /** Accepts callers. */
 int tou_proxy_listen (TouProxy *proxy);
 /** Periodic work; call it every TOU_PROXY_TICK_US. */
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -426,3 +426,22 @@
   database->trace = g_string_new (NULL);
   return trace;
 }
+
+void
+line_database_close (LineDatabase *database)
+{
+  line_database_restart (database);
+  uv_close ((uv_handle_t *)&database->listener, NULL);
+}
+
+void
+line_database_free (LineDatabase *database)
+{
+  if (database->held != NULL)
+    g_string_free (database->held, TRUE);
+  g_ptr_array_unref (database->connections);
+  g_string_free (database->trace, TRUE);
+  g_free (database->failure);
+  g_free (database->id);
+  g_free (database);
+}
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -15,6 +15,10 @@
 LineDatabase *line_database_new (uv_loop_t *loop, const char *id,
                                  gboolean primary);
 
+/** Stops listening and closes all connections; run the loop, then free it. */
+void line_database_close (LineDatabase *database);
+void line_database_free (LineDatabase *database);
+
 /** Port that it listens on. */
 int line_database_port (const LineDatabase *database);
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define MAX_WORDS 8
+#define MAX_DESCRIPTORS 1000
 /* Ends a run that waits in vain; a statement's time-out is 10 s here. */
 #define WAIT_US (20 * TOU_US_PER_S)
 #define TIMEOUT_US (10 * TOU_US_PER_S)
@@ -389,6 +390,8 @@
     run_open (script, words);
   else if (strcmp (words[0], "trace") == 0)
     run_trace (script);
+  else if (strcmp (words[0], "descriptors") == 0)
+    script->proxy->site.max_descriptors = (guint)strtoull (words[1], NULL, 10);
   else if (strcmp (words[0], "prove") == 0)
     script->unproved = strcmp (words[1], "off") == 0;
   else if (strcmp (words[0], "sleep") == 0)
@@ -399,6 +402,47 @@
   g_strfreev (words);
 }
 
+static void
+free_caller (gpointer data)
+{
+  Caller *caller = data;
+
+  g_string_free (caller->in, TRUE);
+  g_free (caller->name);
+  g_free (caller);
+}
+
+/* Closes everything in an order in which no handle outlives its owner. */
+static void
+close_all (Script *script)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  uv_close ((uv_handle_t *)&script->timer, NULL);
+  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  g_hash_table_iter_init (&iter, script->callers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (!uv_is_closing ((uv_handle_t *)&((Caller *)value)->tcp))
+      uv_close ((uv_handle_t *)&((Caller *)value)->tcp, NULL);
+  g_hash_table_iter_init (&iter, script->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    line_database_close (value);
+  uv_run (&script->loop, UV_RUN_NOWAIT);
+  tou_proxy_destroy (script->proxy);
+  uv_run (&script->loop, UV_RUN_DEFAULT);
+  if (uv_loop_close (&script->loop) != 0)
+    g_string_append (script->out, "handles are left open\n");
+  g_hash_table_iter_init (&iter, script->callers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    free_caller (value);
+  g_hash_table_iter_init (&iter, script->databases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    line_database_free (value);
+  g_hash_table_destroy (script->callers);
+  g_hash_table_destroy (script->databases);
+}
+
 GString *
 proxy_script_run (const char *text)
 {
@@ -409,10 +453,12 @@
   memset (&script, 0, sizeof script);
   script.out = g_string_new (NULL);
   script.next_id = 1;
-  script.databases = g_hash_table_new (g_str_hash, g_str_equal);
+  script.databases
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   script.callers = g_hash_table_new (g_str_hash, g_str_equal);
   site.node = tou_name ("n1");
   site.callers_listen = tou_name ("127.0.0.1:0");
+  site.max_descriptors = MAX_DESCRIPTORS;
   site.drain_us = site.grace_us = WAIT_US;
   uv_loop_init (&script.loop);
   tou_proxy_create (&script.proxy, &script.loop, &site);
@@ -424,10 +470,7 @@
   for (char **line = lines; *line != NULL; line++)
     if ((*line)[0] != '\0' && (*line)[0] != '#')
       run_line (&script, *line);
-  tou_proxy_destroy (script.proxy);
-  uv_timer_stop (&script.timer);
-  while (uv_run (&script.loop, UV_RUN_NOWAIT) > 0 && script.timer.data != NULL)
-    script.timer.data = NULL;
   g_strfreev (lines);
+  close_all (&script);
   return script.out;
 }
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -3,6 +3,7 @@
  * Scripted runs of the session proxy between line databases and callers, all
  * on one event loop and loopback.
  *
+ *     descriptors N                 of the process
  *     db ID primary|replica         at ID TERM.POSITION
  *     route DATABASE primary|bounded|session
  *     record REVISION TERM PRIMARY steady|moving
