Leave known records out of heartbeats, and split the control module

A record now goes along for 1 s after its adoption, while a change is under way, and to nodes that showed another revision; else a group takes its name, revision and two flags.

Test: tests/test-heartbeat.c, two and three nodes on loopback: a record reaches a node that joins late, proofs go on without records, and a heartbeat stays within 70 bytes for a known record.

--- /dev/null
+++ b/src/session/control-duty.c
@@ -0,0 +1,285 @@
+#include "control-private.h"
+
+#include <string.h>
+
+/* A new holder waits until an order of the one before has arrived. */
+#define CONTROL_TAKEOVER_US (250 * TOU_US_PER_MS)
+/* Interval of status questions while a change is under way. */
+#define CONTROL_STATUS_US (50 * TOU_US_PER_MS)
+/* A former primary is told to step down this often. */
+#define CONTROL_STEP_DOWN_US (300 * TOU_US_PER_MS)
+/* A registry entry that says replica is believed of a recorded primary only
+   after this time: the entry follows a promotion with a delay. */
+#define CONTROL_ROLE_US (3 * TOU_US_PER_S)
+/* Entries lapse while the store is away and are back within two seconds. */
+#define CONTROL_MISSING_US (2500 * TOU_US_PER_MS)
+
+static void
+control_view_endpoint (TouHandoverEndpoint *out, const TouEndpoint *endpoint)
+{
+  memset (out, 0, sizeof *out);
+  out->id = endpoint->info.id;
+  out->usable
+      = !endpoint->gone && endpoint->silent_us == 0
+        && (!endpoint->info.draining
+            || endpoint == tou_group_recorded_primary (endpoint->group));
+  out->role = endpoint->status.role;
+  out->term = endpoint->status.term;
+  out->received = endpoint->status.received;
+  out->status_us = endpoint->status_us;
+}
+
+static void
+control_view (const ControlGroup *state, TouHandoverView *out, guint64 now_us)
+{
+  TouControl *control = state->control;
+  TouGroup *group = state->group;
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  memset (out, 0, sizeof *out);
+  out->record = *tou_authority_record (group->authority);
+  if (primary != NULL)
+    {
+      out->primary_registered
+          = !primary->gone
+            && (primary->missing_since_us == 0
+                || now_us < primary->missing_since_us + CONTROL_MISSING_US);
+      /* A database that started anew under its id is a replica. */
+      if (primary->info.role == TOU_ROLE_REPLICA
+          && now_us >= state->adopted_us + CONTROL_ROLE_US)
+        out->primary_registered = FALSE;
+      out->primary_draining = primary->info.draining;
+    }
+  out->record_us = state->adopted_us;
+  out->n_nodes = control->proxy->n_nodes;
+  out->n_reporting = 1 + tou_peers_reporting (control->peers, now_us);
+  out->n_suspecting = (primary != NULL && tou_endpoint_has_failed (primary))
+                      + tou_peers_suspecting (control->peers, group, now_us);
+  out->n_acknowledged
+      = tou_group_is_quiet (group, now_us)
+        + tou_peers_quiet (control->peers, group, out->record.revision);
+  for (guint i = 0;
+       i < group->endpoints->len && out->n_endpoints < TOU_GROUP_MAX_ENDPOINTS;
+       i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      if (!endpoint->gone)
+        control_view_endpoint (&out->endpoints[out->n_endpoints++], endpoint);
+    }
+}
+
+/* Written records are adopted at once: the watch brings them later. */
+typedef struct
+{
+  ControlGroup *state;
+  TouGroupRecord record;
+} ControlWrite;
+
+static void
+control_on_record_written (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlWrite *write = user_data;
+  ControlGroup *state = write->state;
+  gboolean done = reply->result == PLAT_STORE_OK;
+
+  tou_control_heard (state->control, reply->result, "write_record");
+  if (done)
+    {
+      write->record.revision = reply->revision;
+      tou_group_adopt (state->group, &write->record, "own write");
+      tou_authority_prove_by_store (state->group->authority, reply->revision,
+                                    reply->sent_us);
+    }
+  tou_evlog (TOU_EVLOG_STATE, "handover_written",
+             "\"group\":\"%s\",\"result\":%d,\"revision\":%" G_GUINT64_FORMAT,
+             state->group->name.data, (int)reply->result, reply->revision);
+  tou_handover_written (state->handover, done, tou_clock_us ());
+  g_free (write);
+}
+
+static void
+control_write_record (ControlGroup *state, const TouHandoverAction *action)
+{
+  TouControl *control = state->control;
+  const TouGroupRecord *known = tou_authority_record (state->group->authority);
+  char *key = g_strconcat (CONTROL_GROUP_PREFIX, state->group->name.data, NULL);
+  char *value = tou_record_encode (&action->record);
+  /* Without the duty's key the write fails, so an order that follows it comes
+     from the holder. */
+  PlatStoreCondition conditions[]
+      = { { key, known->revision }, { CONTROL_LEADER_KEY, control->token } };
+  PlatStoreChange change
+      = { conditions, G_N_ELEMENTS (conditions), key, value, 0 };
+  ControlWrite *write = g_new0 (ControlWrite, 1);
+
+  write->state = state;
+  write->record = action->record;
+  plat_store_change (control->store, &change, control_on_record_written, write);
+  g_free (key);
+  free (value);
+}
+
+static void
+control_on_ordered (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlGroup *state = user_data;
+  TouHandoverOrder order = TOU_HANDOVER_NO_ANSWER;
+
+  if (reply->result == PLAT_STORE_OK)
+    order = TOU_HANDOVER_ORDERED;
+  else if (reply->result == PLAT_STORE_CONFLICT)
+    order = TOU_HANDOVER_REJECTED;
+  TOU_COUNT (state->control->proxy, STORE_CALLS);
+  tou_evlog (TOU_EVLOG_STATE, "promotion_answer",
+             "\"group\":\"%s\",\"result\":%d", state->group->name.data,
+             (int)reply->result);
+  tou_handover_ordered (state->handover, order, tou_clock_us ());
+}
+
+static TouEndpoint *
+control_endpoint (ControlGroup *state, const TouName *id)
+{
+  return g_hash_table_lookup (state->control->proxy->endpoints, id);
+}
+
+static void
+control_act (ControlGroup *state, const TouHandoverAction *action,
+             const TouHandoverView *view, guint64 now_us)
+{
+  TouControl *control = state->control;
+  TouEndpoint *endpoint;
+
+  if (action->kind == TOU_HANDOVER_NONE)
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "handover",
+             "\"group\":\"%s\",\"step\":\"%s\",\"action\":%d,\"reason\":\"%s\","
+             "\"endpoint\":\"%s\",\"record\":%" G_GUINT64_FORMAT
+             ",\"term\":%" G_GUINT64_FORMAT
+             ",\"nodes\":%u,\"reporting\":%u,\"suspecting\":%u,\"quiet\":%u,"
+             "\"token\":%" G_GUINT64_FORMAT,
+             state->group->name.data, tou_handover_step_name (state->handover),
+             (int)action->kind, action->reason,
+             action->kind == TOU_HANDOVER_WRITE ? action->record.primary.data
+                                                : action->endpoint.data,
+             view->record.revision, view->record.term, view->n_nodes,
+             view->n_reporting, view->n_suspecting, view->n_acknowledged,
+             control->token);
+  switch (action->kind)
+    {
+    case TOU_HANDOVER_WRITE:
+      control_write_record (state, action);
+      break;
+    case TOU_HANDOVER_STEP_DOWN:
+      endpoint = control_endpoint (state, &action->endpoint);
+      if (endpoint != NULL)
+        tou_endpoint_step_down (endpoint, view->record.term + 1, now_us);
+      break;
+    case TOU_HANDOVER_PROMOTE:
+      TOU_COUNT (control->proxy, HANDOVERS);
+      plat_store_order_promotion (control->store, &state->group->name,
+                                  &action->endpoint, &control->proxy->site.node,
+                                  control->token, control_on_ordered, state);
+      break;
+    case TOU_HANDOVER_NONE:
+      break;
+    }
+}
+
+/* Former primaries that answer again are told who leads. */
+static void
+control_step_down_others (ControlGroup *state, guint64 now_us)
+{
+  TouGroup *group = state->group;
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+
+  if (record->revision == 0 || record->moving
+      || now_us < state->stepped_us + CONTROL_STEP_DOWN_US)
+    return;
+  state->stepped_us = now_us;
+  for (guint i = 0; i < group->endpoints->len; i++)
+    {
+      TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+
+      if (tou_name_equal (&endpoint->info.id, &record->primary)
+          || endpoint->gone || endpoint->silent_us != 0)
+        continue;
+      if (endpoint->status.role == TOU_ROLE_PRIMARY
+          || (endpoint->info.role == TOU_ROLE_PRIMARY
+              && endpoint->status_us < state->adopted_us))
+        tou_endpoint_step_down (endpoint, record->term, now_us);
+    }
+}
+
+static void
+control_ask_statuses (ControlGroup *state, guint64 now_us)
+{
+  if (now_us < state->asked_us + CONTROL_STATUS_US)
+    return;
+  state->asked_us = now_us;
+  for (guint i = 0; i < state->group->endpoints->len; i++)
+    {
+      TouEndpoint *endpoint = g_ptr_array_index (state->group->endpoints, i);
+
+      if (!endpoint->gone && endpoint->silent_us == 0)
+        tou_endpoint_ask_status (endpoint, now_us);
+    }
+}
+
+static void
+control_run_group (ControlGroup *state, guint64 now_us)
+{
+  TouHandoverView view;
+  TouHandoverAction action;
+
+  control_view (state, &view, now_us);
+  if (view.n_endpoints == 0)
+    return;
+  tou_handover_step (state->handover, &view, now_us, &action);
+  control_act (state, &action, &view, now_us);
+  if (tou_handover_is_active (state->handover) || view.record.revision == 0)
+    control_ask_statuses (state, now_us);
+  control_step_down_others (state, now_us);
+}
+
+static ControlGroup *
+control_group (TouControl *control, TouGroup *group)
+{
+  ControlGroup *state = g_hash_table_lookup (control->groups, &group->name);
+
+  if (state != NULL)
+    return state;
+  state = g_new0 (ControlGroup, 1);
+  state->control = control;
+  state->group = group;
+  tou_handover_create (&state->handover);
+  g_hash_table_insert (control->groups, &group->name, state);
+  return state;
+}
+
+void
+tou_control_run_groups (TouControl *control, guint64 now_us)
+{
+  gboolean holds = control->leading && now_us < control->lease_until_us
+                   && now_us >= control->lead_since_us + CONTROL_TAKEOVER_US;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      ControlGroup *state = control_group (control, group);
+      guint64 revision = tou_authority_record (group->authority)->revision;
+
+      if (revision != state->adopted_revision)
+        {
+          state->adopted_revision = revision;
+          state->adopted_us = now_us;
+        }
+      if (holds)
+        control_run_group (state, now_us);
+      else
+        tou_handover_reset (state->handover);
+    }
+}
--- a/src/session/freshness.c
+++ b/src/session/freshness.c
@@ -30,12 +30,6 @@
   g_free (freshness);
 }
 
-void
-tou_freshness_reset (TouFreshness *freshness)
-{
-  freshness->count = 0;
-}
-
 static const FreshnessSample *
 freshness_sample (const TouFreshness *freshness, guint i)
 {
--- a/src/session/freshness.h
+++ b/src/session/freshness.h
@@ -23,9 +23,6 @@
 void tou_freshness_add (TouFreshness *freshness, guint64 sent_us,
                         TouLogPos pos);
 
-/** Forgets everything, after a change of primary. */
-void tou_freshness_reset (TouFreshness *freshness);
-
 /**
  * Sets @a out to the oldest known position that is current as of @a since_us.
  *
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -15,13 +15,18 @@
 /* A node is reporting if it was heard from within four heartbeats. */
 #define PEERS_REPORTING_US (1000 * TOU_US_PER_MS)
 #define PEERS_VERSION 1
-/* Fields of a message and of each group in it. */
+/* Fields of a message, and of each group in it with and without its record. */
 #define PEERS_FIELDS 6
-#define PEERS_GROUP_FIELDS 8
+#define PEERS_RECORD_FIELDS 8
+#define PEERS_GROUP_FIELDS 4
+/* A record goes along for this long after its adoption, and to nodes that have
+   shown another one; it makes up most of a heartbeat's bytes. */
+#define PEERS_RECORD_FOR_US (1000 * TOU_US_PER_MS)
 
 /* What a node says of a group. */
 typedef struct
 {
+  guint64 revision;       /* of its record */
   guint64 quiet_revision; /* it stopped using the primary of this record */
   gboolean suspects;
 } PeerGroup;
@@ -109,22 +114,37 @@
   msgpack_pack_str_with_body (packer, name->data, name->len);
 }
 
+/* TRUE if @a peer is known to have the same record. */
+static gboolean
+peers_has_record (const Peer *peer, const TouGroup *group, guint64 now_us)
+{
+  const TouGroupRecord *record = tou_authority_record (group->authority);
+  const PeerGroup *said = g_hash_table_lookup (peer->groups, &group->name);
+
+  return said != NULL && said->revision == record->revision && !record->moving
+         && now_us >= group->adopted_us + PEERS_RECORD_FOR_US;
+}
+
 static void
-peers_pack_group (msgpack_packer *packer, TouGroup *group, guint64 now_us)
+peers_pack_group (msgpack_packer *packer, const Peer *peer, TouGroup *group,
+                  guint64 now_us)
 {
   const TouGroupRecord *record = tou_authority_record (group->authority);
   const TouEndpoint *primary = tou_group_recorded_primary (group);
+  gboolean brief = peers_has_record (peer, group, now_us);
 
-  msgpack_pack_array (packer, PEERS_GROUP_FIELDS);
+  msgpack_pack_array (packer, brief ? PEERS_GROUP_FIELDS : PEERS_RECORD_FIELDS);
   pack_name (packer, &group->name);
   msgpack_pack_uint64 (packer, record->revision);
+  msgpack_pack_uint64 (packer,
+                       primary != NULL && tou_endpoint_has_failed (primary));
+  msgpack_pack_uint64 (packer, tou_group_is_quiet (group, now_us));
+  if (brief)
+    return;
   msgpack_pack_uint64 (packer, record->term);
   pack_name (packer, &record->primary);
   msgpack_pack_uint64 (packer, record->moving);
   pack_name (packer, &record->candidate);
-  msgpack_pack_uint64 (packer,
-                       primary != NULL && tou_endpoint_has_failed (primary));
-  msgpack_pack_uint64 (packer, tou_group_is_quiet (group, now_us));
 }
 
 /* A node that has not read the store since its start does not know what it
@@ -150,7 +170,7 @@
   msgpack_pack_array (packer, n_groups);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    peers_pack_group (packer, value, now_us);
+    peers_pack_group (packer, peer, value, now_us);
 }
 
 static void
@@ -167,6 +187,8 @@
   /* A lost datagram is made up for by the next one. */
   uv_udp_try_send (&peers->udp, &buf, 1,
                    (const struct sockaddr *)&peer->address);
+  TOU_COUNT (peers->proxy, PEER_SENT);
+  peers->proxy->counters[TOU_COUNT_PEER_BYTES] += buffer.size;
   msgpack_sbuffer_destroy (&buffer);
 }
 
@@ -187,41 +209,62 @@
   return TRUE;
 }
 
+/* Decodes the record that follows a group's first fields. */
+static gboolean
+unpack_record (TouGroupRecord *out, const msgpack_object *fields)
+{
+  guint64 moving;
+
+  if (!unpack_number (&out->term, &fields[4])
+      || !unpack_name (&out->primary, &fields[5])
+      || !unpack_number (&moving, &fields[6])
+      || !unpack_name (&out->candidate, &fields[7]))
+    return FALSE;
+  out->moving = moving != 0;
+  return TRUE;
+}
+
+static PeerGroup *
+peer_group (Peer *peer, const TouName *name)
+{
+  PeerGroup *said = g_hash_table_lookup (peer->groups, name);
+
+  if (said != NULL)
+    return said;
+  said = g_new0 (PeerGroup, 1);
+  g_hash_table_insert (peer->groups, g_memdup2 (name, sizeof *name), said);
+  return said;
+}
+
 static gboolean
 peers_on_group (TouPeers *peers, Peer *peer, const msgpack_object *object,
                 guint64 echo_us, gboolean counts)
 {
   const msgpack_object *fields = object->via.array.ptr;
   TouGroupRecord record = { 0 };
+  gboolean brief;
   TouName name;
   TouGroup *group;
   PeerGroup *said;
-  guint64 moving;
   guint64 suspects;
   guint64 quiet;
 
-  if (object->type != MSGPACK_OBJECT_ARRAY
-      || object->via.array.size != PEERS_GROUP_FIELDS
+  if (object->type != MSGPACK_OBJECT_ARRAY)
+    return FALSE;
+  brief = object->via.array.size == PEERS_GROUP_FIELDS;
+  if ((!brief && object->via.array.size != PEERS_RECORD_FIELDS)
       || !unpack_name (&name, &fields[0])
       || !unpack_number (&record.revision, &fields[1])
-      || !unpack_number (&record.term, &fields[2])
-      || !unpack_name (&record.primary, &fields[3])
-      || !unpack_number (&moving, &fields[4])
-      || !unpack_name (&record.candidate, &fields[5])
-      || !unpack_number (&suspects, &fields[6])
-      || !unpack_number (&quiet, &fields[7]))
+      || !unpack_number (&suspects, &fields[2])
+      || !unpack_number (&quiet, &fields[3])
+      || (!brief && !unpack_record (&record, fields)))
     return FALSE;
-  record.moving = moving != 0;
   group = tou_group_get (peers->proxy, &name);
-  said = g_hash_table_lookup (peer->groups, &name);
-  if (said == NULL)
-    {
-      said = g_new0 (PeerGroup, 1);
-      g_hash_table_insert (peer->groups, g_memdup2 (&name, sizeof name), said);
-    }
+  said = peer_group (peer, &name);
+  said->revision = record.revision;
   said->suspects = suspects != 0;
   said->quiet_revision = quiet != 0 ? record.revision : 0;
-  if (record.revision != 0)
+  if (record.revision != 0 && !brief)
     tou_group_adopt (group, &record, peer->node.data);
   if (record.revision != 0 && echo_us != 0 && counts)
     tou_authority_prove_by_node (group->authority, &peer->node, record.revision,
@@ -427,12 +470,35 @@
   return status;
 }
 
+static void
+peers_on_closed (uv_handle_t *handle)
+{
+  g_free (handle->data);
+}
+
 void
 tou_peers_destroy (TouPeers *peers)
 {
   if (peers == NULL)
     return;
-  uv_udp_recv_stop (&peers->udp);
   g_hash_table_destroy (peers->nodes);
-  g_free (peers);
+  uv_close ((uv_handle_t *)&peers->udp, peers_on_closed);
+}
+
+int
+tou_peers_address (TouName *out, const TouPeers *peers)
+{
+  struct sockaddr_in address;
+  char ip[INET_ADDRSTRLEN];
+  char text[TOU_NAME_MAX + 1];
+  int len = sizeof address;
+  int error
+      = uv_udp_getsockname (&peers->udp, (struct sockaddr *)&address, &len);
+
+  if (error == 0)
+    error = uv_ip4_name (&address, ip, sizeof ip);
+  if (error != 0)
+    return tou_status_set (TOU_E_IO, "no address: %s", uv_strerror (error));
+  g_snprintf (text, sizeof text, "%s:%u", ip, g_ntohs (address.sin_port));
+  return tou_name_set_c (out, text);
 }
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -11,8 +11,12 @@
 typedef struct TouPeers TouPeers;
 
 int tou_peers_create (TouPeers **out, TouProxy *proxy);
+/** The loop must run once more to free it. */
 void tou_peers_destroy (TouPeers *peers);
 
+/** Address that other nodes send to. */
+int tou_peers_address (TouName *out, const TouPeers *peers);
+
 /** A node is registered, or registered anew; this node itself is ignored. */
 void tou_peers_set (TouPeers *peers, const TouName *node,
                     const TouName *address);
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -584,7 +584,11 @@
                             proxy_counters[i].name, proxy_counters[i].help,
                             proxy_counters[i].name, proxy_counters[i].name,
                             proxy->counters[i]);
-  g_string_append (out, "# TYPE toucanscale_latency_ms histogram\n");
+  g_string_append_printf (out,
+                          "# TYPE toucanscale_log_dropped_total counter\n"
+                          "toucanscale_log_dropped_total %" G_GUINT64_FORMAT
+                          "\n# TYPE toucanscale_latency_ms histogram\n",
+                          tou_evlog_dropped ());
   for (guint rank = 0; rank < TOU_RANK_COUNT; rank++)
     {
       guint64 total = 0;
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -47,6 +47,8 @@
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
   X (STORE_FAILED, "store_failed_total", "store calls refused or lost")        \
+  X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
+  X (PEER_BYTES, "peer_bytes_total", "bytes sent to other nodes")              \
   X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
   X (HANDOVERS, "handovers_total", "changes of primary run by this node")
 
--- /dev/null
+++ b/tests/test-heartbeat.c
@@ -0,0 +1,205 @@
+/* Guards the heartbeats between nodes: a node that knows an older record must
+ * get the newer one, also when it joins late, and proofs must go on when the
+ * heartbeats carry revisions only.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "peers.h"
+
+#include <string.h>
+
+#define MAX_NODES 3
+/* Interval of the nodes' ticks, and the longest wait for a condition. */
+#define TICK_US (10 * TOU_US_PER_MS)
+#define WAIT_US (20 * TOU_US_PER_S)
+/* Bytes of a heartbeat for one group whose record is known: the sender, three
+   times and numbers of 9 bytes, and a name, a revision and two flags. */
+#define BRIEF_BYTES 70
+
+typedef struct
+{
+  uv_loop_t loop;
+  uv_timer_t timer;
+  guint n_nodes;
+  TouProxy *proxies[MAX_NODES];
+  TouPeers *peers[MAX_NODES];
+} Fleet;
+
+static void
+fleet_on_timer (uv_timer_t *timer)
+{
+  Fleet *fleet = timer->data;
+
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    tou_peers_tick (fleet->peers[i], tou_clock_us ());
+}
+
+static TouGroup *
+fleet_group (const Fleet *fleet, guint node)
+{
+  TouName name = tou_name ("g");
+
+  return tou_group_get (fleet->proxies[node], &name);
+}
+
+/* Adds a node and registers it with all. */
+static void
+fleet_add (Fleet *fleet)
+{
+  guint added = fleet->n_nodes++;
+  TouSite site = { 0 };
+  char name[] = "node0";
+
+  name[4] = (char)('0' + added);
+  site.node = tou_name (name);
+  site.peers_listen = tou_name ("127.0.0.1:0");
+  assert_int_equal (
+      tou_proxy_create (&fleet->proxies[added], &fleet->loop, &site), TOU_OK);
+  fleet->proxies[added]->synced = TRUE;
+  fleet->proxies[added]->store_heard_us = tou_clock_us ();
+  assert_int_equal (
+      tou_peers_create (&fleet->peers[added], fleet->proxies[added]), TOU_OK);
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    for (guint j = 0; j < fleet->n_nodes; j++)
+      {
+        TouName address;
+
+        assert_int_equal (tou_peers_address (&address, fleet->peers[j]),
+                          TOU_OK);
+        tou_peers_set (fleet->peers[i], &fleet->proxies[j]->site.node,
+                       &address);
+      }
+}
+
+static void
+fleet_adopt (Fleet *fleet, guint node, guint64 revision)
+{
+  TouGroupRecord record = { 0 };
+
+  record.revision = revision;
+  record.term = 1;
+  record.primary = tou_name ("db1");
+  tou_group_adopt (fleet_group (fleet, node), &record, "test");
+}
+
+static gboolean
+fleet_is_valid (const Fleet *fleet, guint node, guint64 revision)
+{
+  TouGroup *group = fleet_group (fleet, node);
+
+  return tou_authority_record (group->authority)->revision == revision
+         && tou_authority_is_valid (group->authority, fleet->n_nodes,
+                                    tou_clock_us ());
+}
+
+/* Runs until all nodes may use the primary of the record. */
+static void
+fleet_wait_valid (Fleet *fleet, guint64 revision)
+{
+  guint64 end_us = tou_clock_us () + WAIT_US;
+  guint valid = 0;
+
+  while (valid < fleet->n_nodes)
+    {
+      assert_true (tou_clock_us () < end_us);
+      uv_run (&fleet->loop, UV_RUN_ONCE);
+      valid = 0;
+      for (guint i = 0; i < fleet->n_nodes; i++)
+        valid += fleet_is_valid (fleet, i, revision);
+    }
+}
+
+static void
+fleet_run (Fleet *fleet, guint64 time_us)
+{
+  guint64 end_us = tou_clock_us () + time_us;
+
+  while (tou_clock_us () < end_us)
+    uv_run (&fleet->loop, UV_RUN_ONCE);
+}
+
+static void
+fleet_init (Fleet *fleet)
+{
+  memset (fleet, 0, sizeof *fleet);
+  uv_loop_init (&fleet->loop);
+  uv_timer_init (&fleet->loop, &fleet->timer);
+  fleet->timer.data = fleet;
+  uv_timer_start (&fleet->timer, fleet_on_timer, 0, TICK_US / TOU_US_PER_MS);
+}
+
+static void
+fleet_clear (Fleet *fleet)
+{
+  uv_close ((uv_handle_t *)&fleet->timer, NULL);
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    {
+      tou_peers_destroy (fleet->peers[i]);
+      tou_proxy_destroy (fleet->proxies[i]);
+    }
+  uv_run (&fleet->loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&fleet->loop), 0);
+}
+
+static void
+test_record_spreads (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_init (&fleet);
+  fleet_add (&fleet);
+  fleet_add (&fleet);
+  fleet_adopt (&fleet, 0, 5);
+  fleet_wait_valid (&fleet, 5);
+  /* Long enough for heartbeats without the record. */
+  fleet_run (&fleet, 2 * TOU_US_PER_S);
+  fleet_wait_valid (&fleet, 5);
+  /* A node that joins late knows no record. */
+  fleet_add (&fleet);
+  fleet_wait_valid (&fleet, 5);
+  fleet_adopt (&fleet, 2, 7);
+  fleet_wait_valid (&fleet, 7);
+  fleet_clear (&fleet);
+}
+
+/* Bytes between regions are priced; a record that every node has must not be
+   repeated five times a second. */
+static void
+test_known_record_is_not_repeated (void **state)
+{
+  Fleet fleet;
+  guint64 bytes;
+  guint64 messages;
+
+  (void)state;
+  fleet_init (&fleet);
+  fleet_add (&fleet);
+  fleet_add (&fleet);
+  fleet_adopt (&fleet, 0, 5);
+  fleet_wait_valid (&fleet, 5);
+  fleet_run (&fleet, 2 * TOU_US_PER_S);
+  bytes = fleet.proxies[0]->counters[TOU_COUNT_PEER_BYTES];
+  messages = fleet.proxies[0]->counters[TOU_COUNT_PEER_SENT];
+  fleet_run (&fleet, TOU_US_PER_S);
+  bytes = fleet.proxies[0]->counters[TOU_COUNT_PEER_BYTES] - bytes;
+  messages = fleet.proxies[0]->counters[TOU_COUNT_PEER_SENT] - messages;
+  assert_true (messages > 0);
+  assert_true (bytes <= messages * BRIEF_BYTES);
+  fleet_clear (&fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (test_record_spreads),
+          cmocka_unit_test (test_known_record_is_not_repeated) };
+
+  return cmocka_run_group_tests_name ("heartbeat", tests, NULL, NULL);
+}
