Hear a node that starts again after its clock was set back

A process that starts again after the time of day was set back was not heard until the clock had caught up: changes of primary waited for it and it was removed as silent. A new registration in the store now clears what is known of the node's earlier life.

Ruled out: a counter of the node's own, as no VM keeps anything.

Test: test_restart_with_earlier_clock in tests/test-heartbeat.c fails before the change (0 instead of 1 node heard) and passes after it.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -182,7 +182,7 @@
       tou_peers_remove (control->peers, &node);
     }
   else if (tou_name_set (&address, item->value.data, item->value.len) == TOU_OK)
-    tou_peers_set (control->peers, &node, &address);
+    tou_peers_set (control->peers, &node, &address, item->revision);
 }
 
 static void
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -35,6 +35,7 @@
 {
   TouName node;
   struct sockaddr_in address;
+  guint64 revision; /* of its registration */
   guint64 incarnation;
   guint64 heard_us;
   guint64 echo_us;    /* its send time, to be returned */
@@ -64,8 +65,19 @@
   peers->proxy->n_nodes = g_hash_table_size (peers->nodes) + 1;
 }
 
+/* The node has started again. Incarnations are times of day, so a clock that
+   was set back must not make the earlier one win. */
+static void
+peer_forget (Peer *peer)
+{
+  peer->incarnation = 0;
+  peer->echo_us = 0;
+  g_hash_table_remove_all (peer->groups);
+}
+
 void
-tou_peers_set (TouPeers *peers, const TouName *node, const TouName *address)
+tou_peers_set (TouPeers *peers, const TouName *node, const TouName *address,
+               guint64 revision)
 {
   struct sockaddr_in parsed;
   Peer *peer;
@@ -85,6 +97,9 @@
       g_hash_table_insert (peers->nodes, &peer->node, peer);
     }
   peer->address = parsed;
+  if (revision > peer->revision)
+    peer_forget (peer);
+  peer->revision = MAX (peer->revision, revision);
   peers_count (peers);
 }
 
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -17,9 +17,13 @@
 /** Address that other nodes send to. */
 int tou_peers_address (TouName *out, const TouPeers *peers);
 
-/** A node is registered, or registered anew; this node itself is ignored. */
+/**
+ * A node is registered, or registered anew; this node itself is ignored.
+ *
+ * @param revision of the registration in the store
+ */
 void tou_peers_set (TouPeers *peers, const TouName *node,
-                    const TouName *address);
+                    const TouName *address, guint64 revision);
 void tou_peers_remove (TouPeers *peers, const TouName *node);
 /** Removes all nodes that @a nodes (TouName set) lacks. */
 void tou_peers_retain (TouPeers *peers, GHashTable *nodes);
--- a/tests/test-heartbeat.c
+++ b/tests/test-heartbeat.c
@@ -26,6 +26,7 @@
   uv_loop_t loop;
   uv_timer_t timer;
   guint n_nodes;
+  guint64 revision; /* of the last registration */
   TouProxy *proxies[MAX_NODES];
   TouPeers *peers[MAX_NODES];
 } Fleet;
@@ -47,6 +48,17 @@
   return tou_group_get (fleet->proxies[node], &name);
 }
 
+/* Node @a at learns of the registration of @a node. */
+static void
+fleet_register (Fleet *fleet, guint at, guint node, guint64 revision)
+{
+  TouName address;
+
+  assert_int_equal (tou_peers_address (&address, fleet->peers[node]), TOU_OK);
+  tou_peers_set (fleet->peers[at], &fleet->proxies[node]->site.node, &address,
+                 revision);
+}
+
 /* Adds a node and registers it with all. */
 static void
 fleet_add (Fleet *fleet)
@@ -66,14 +78,19 @@
       tou_peers_create (&fleet->peers[added], fleet->proxies[added]), TOU_OK);
   for (guint i = 0; i < fleet->n_nodes; i++)
     for (guint j = 0; j < fleet->n_nodes; j++)
-      {
-        TouName address;
-
-        assert_int_equal (tou_peers_address (&address, fleet->peers[j]),
-                          TOU_OK);
-        tou_peers_set (fleet->peers[i], &fleet->proxies[j]->site.node,
-                       &address);
-      }
+      fleet_register (fleet, i, j, j + 1);
+  fleet->revision = MAX_NODES;
+}
+
+/* A process that starts again after the time of day was set back. */
+static void
+fleet_restart_earlier (Fleet *fleet, guint node)
+{
+  TouProxy *proxy = fleet->proxies[node];
+
+  proxy->incarnation -= TOU_US_PER_S;
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    fleet_register (fleet, i, node, ++fleet->revision);
 }
 
 static void
@@ -168,6 +185,28 @@
   fleet_clear (&fleet);
 }
 
+/* Without this, nodes ignore each other for as long as the clock was set back:
+   changes of primary wait for the node, and it is removed as silent. */
+static void
+test_restart_with_earlier_clock (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_init (&fleet);
+  fleet_add (&fleet);
+  fleet_add (&fleet);
+  fleet_adopt (&fleet, 0, 5);
+  fleet_wait_valid (&fleet, 5);
+  fleet_restart_earlier (&fleet, 1);
+  /* The proofs from before have lapsed by then. */
+  fleet_run (&fleet, 2 * TOU_US_PER_S);
+  assert_int_equal (tou_peers_reporting (fleet.peers[0], tou_clock_us ()), 1);
+  assert_true (fleet_is_valid (&fleet, 0, 5));
+  assert_true (fleet_is_valid (&fleet, 1, 5));
+  fleet_clear (&fleet);
+}
+
 /* Bytes between regions are priced; a record that every node has must not be
    repeated five times a second. */
 static void
@@ -199,6 +238,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_record_spreads),
+          cmocka_unit_test (test_restart_with_earlier_clock),
           cmocka_unit_test (test_known_record_is_not_repeated) };
 
   return cmocka_run_group_tests_name ("heartbeat", tests, NULL, NULL);
