Take no step's answer for the statement's own

Cause, found by reading the change: values, prepared names and the statement behind them are sent at once. When the connection ended between the final message of such a step and its READY, closing the link took the step's success for the statement's answer, and a write that may not have run was answered as done, without a database's proof. Only the statement at the head of the steps counts now; otherwise the statement is lost: a write is in doubt, a read is tried again.

--- a/src/session/link.c
+++ b/src/session/link.c
@@ -75,6 +75,15 @@
   g_string_free (lines, TRUE);
 }
 
+/* TRUE if the statement itself, not a step before it, has its answer. That
+   stands, even if the final message is missing. */
+static gboolean
+link_has_answer (const TouLink *link)
+{
+  return link->answered && link->steps->len > 0
+         && g_array_index (link->steps, LinkStep, 0) == STEP_STATEMENT;
+}
+
 void
 tou_link_close (TouLink *link, const char *reason)
 {
@@ -98,17 +107,17 @@
   if (task != NULL)
     {
       gboolean sent = task->sent_us != 0;
+      gboolean done = link_has_answer (link) && link->complete;
 
-      /* A complete answer stands, even if the final message is missing. */
-      if (!link->answered)
+      if (!done)
         {
           link->complete = FALSE;
           link->error = TOU_SQL_E_OTHER;
         }
       link_finish (link,
-                   !sent                              ? TOU_TASK_NOT_RUN
-                   : link->answered && link->complete ? TOU_TASK_ANSWERED
-                                                      : TOU_TASK_LOST,
+                   !sent  ? TOU_TASK_NOT_RUN
+                   : done ? TOU_TASK_ANSWERED
+                          : TOU_TASK_LOST,
                    TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
     }
   else if (client != NULL)
@@ -277,7 +286,6 @@
           link_finish (link, TOU_TASK_ANSWERED, reply->state, reply->pos);
           break;
         }
-      link->answered = FALSE;
       tou_link_close (link, "statement could not be prepared");
       break;
     case STEP_ROLLBACK:
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -19,6 +19,7 @@
   char *failure;
   gboolean drop;
   gboolean cut;
+  gboolean cut_step;
   gboolean hold;
   GString *held;        /* answer that waits */
   uv_stream_t *held_by; /* connection that it is for */
@@ -245,9 +246,10 @@
     }
   else
     run_text (connection, id, text, out);
-  if (!own && database->cut)
+  if ((!own && database->cut)
+      || (own && database->cut_step && starts_with (text, "SET")))
     {
-      database->cut = FALSE;
+      database->cut = database->cut_step = FALSE;
       tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
       close_connection (connection);
       g_string_free (out, TRUE);
@@ -402,6 +404,12 @@
   database->cut = TRUE;
 }
 
+void
+line_database_cut_step (LineDatabase *database)
+{
+  database->cut_step = TRUE;
+}
+
 void
 line_database_hold (LineDatabase *database)
 {
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -37,6 +37,9 @@
 /** The next statement's answer ends before READY, and the connection closes. */
 void line_database_cut (LineDatabase *database);
 
+/** The next SET's answer ends before READY, and the connection closes. */
+void line_database_cut_step (LineDatabase *database);
+
 /** The next statement is answered after line_database_resume() only. */
 void line_database_hold (LineDatabase *database);
 void line_database_resume (LineDatabase *database);
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -328,6 +328,8 @@
     line_database_drop (database);
   else if (strcmp (words[0], "cut") == 0)
     line_database_cut (database);
+  else if (strcmp (words[0], "cut-step") == 0)
+    line_database_cut_step (database);
   else if (strcmp (words[0], "restart") == 0)
     line_database_restart (database);
   else if (strcmp (words[0], "hold") == 0)
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -12,7 +12,7 @@
  *     send CALLER TEXT              sends a statement
  *     wait CALLER                   waits for READY
  *     leave CALLER                  closes the connection
- *     fail ID CODE    drop ID    cut ID    restart ID
+ *     fail ID CODE    drop ID    cut ID    cut-step ID    restart ID
  *     hold ID    resume ID
  *     prove on|off                  whether the record counts as proved
  *     sleep MS                      runs the loop
