--- a/src/session/authority.c
+++ b/src/session/authority.c
@@ -1,9 +1,16 @@
 #include "authority.h"
 
+/* With many nodes a search for the majority's time costs as much as a
+   statement; it may be this much behind. */
+#define AUTHORITY_CACHE_US (50 * TOU_US_PER_MS)
+
 struct TouAuthority
 {
   TouGroupRecord record;
   guint64 store_us;
+  guint64 majority_us; /* last result, for majority_n nodes at computed_us */
+  guint64 computed_us;
+  guint majority_n;
   GHashTable *nodes; /* TouName to guint64, time of the proof */
 };
 
@@ -34,6 +41,7 @@
     return FALSE;
   authority->record = *record;
   authority->store_us = 0;
+  authority->majority_us = 0;
   g_hash_table_remove_all (authority->nodes);
   return TRUE;
 }
@@ -79,9 +87,15 @@
   return left > right ? -1 : left < right;
 }
 
-/* Time at or after which a majority, this node included, had answered. */
+/* Time 0 stands for no proof. */
+static gboolean
+authority_is_recent (guint64 proved_us, guint64 now_us)
+{
+  return proved_us != 0 && now_us < proved_us + TOU_AUTHORITY_VALID_US;
+}
+
 static guint64
-authority_majority_us (const TouAuthority *authority, guint n_nodes)
+authority_find_majority (const TouAuthority *authority, guint n_nodes)
 {
   guint needed = n_nodes / 2;
   GArray *times;
@@ -102,28 +116,37 @@
   return result;
 }
 
-guint64
-tou_authority_proved_us (const TouAuthority *authority, guint n_nodes)
+/* Time at or after which a majority, this node included, had answered. An
+   earlier result holds on, as answers only get newer. */
+static guint64
+authority_majority_us (TouAuthority *authority, guint n_nodes, guint64 now_us)
 {
-  return MAX (authority->store_us, authority_majority_us (authority, n_nodes));
+  if (authority->majority_n != n_nodes
+      || !authority_is_recent (authority->majority_us, now_us)
+      || now_us >= authority->computed_us + AUTHORITY_CACHE_US)
+    {
+      authority->majority_us = authority_find_majority (authority, n_nodes);
+      authority->majority_n = n_nodes;
+      authority->computed_us = now_us;
+    }
+  return authority->majority_us;
 }
 
-/* Time 0 stands for no proof. */
-static gboolean
-authority_is_recent (guint64 proved_us, guint64 now_us)
+guint64
+tou_authority_proved_us (TouAuthority *authority, guint n_nodes, guint64 now_us)
 {
-  return proved_us != 0 && now_us < proved_us + TOU_AUTHORITY_VALID_US;
+  return MAX (authority->store_us,
+              authority_majority_us (authority, n_nodes, now_us));
 }
 
 gboolean
-tou_authority_is_valid (const TouAuthority *authority, guint n_nodes,
-                        guint64 now_us)
+tou_authority_is_valid (TouAuthority *authority, guint n_nodes, guint64 now_us)
 {
   if (authority->record.revision == 0 || authority->record.moving)
     return FALSE;
   return authority_is_recent (authority->store_us, now_us)
-         || authority_is_recent (authority_majority_us (authority, n_nodes),
-                                 now_us);
+         || authority_is_recent (
+             authority_majority_us (authority, n_nodes, now_us), now_us);
 }
 
 gboolean
--- a/src/session/authority.h
+++ b/src/session/authority.h
@@ -69,7 +69,8 @@
  *
  * @param n_nodes all registered nodes, this one included
  */
-guint64 tou_authority_proved_us (const TouAuthority *authority, guint n_nodes);
+guint64 tou_authority_proved_us (TouAuthority *authority, guint n_nodes,
+                                 guint64 now_us);
 
 /**
  * TRUE if a registered node may be removed from the registry.
@@ -89,7 +90,7 @@
                                     guint64 contact_us);
 
 /** TRUE if the record's primary may be used at @a now_us. */
-gboolean tou_authority_is_valid (const TouAuthority *authority, guint n_nodes,
+gboolean tou_authority_is_valid (TouAuthority *authority, guint n_nodes,
                                  guint64 now_us);
 
 G_END_DECLS
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -16,47 +16,6 @@
 /* Longest request id or reason in a log line, in bytes. */
 #define CLIENT_TEXT_MAX 160
 
-/* Shapes of prepared statements, shared by all sessions and links. */
-static GHashTable *client_shapes;
-
-void
-tou_client_shapes_destroy (void)
-{
-  if (client_shapes != NULL)
-    g_hash_table_destroy (client_shapes);
-  client_shapes = NULL;
-}
-
-static const char *
-client_shape_name (const char *shape, gboolean writes)
-{
-  char *key = g_strconcat (writes ? "W " : "R ", shape, NULL);
-  char *name;
-
-  if (client_shapes == NULL)
-    client_shapes
-        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  name = g_hash_table_lookup (client_shapes, key);
-  if (name != NULL)
-    {
-      g_free (key);
-      return name;
-    }
-  name = g_strdup_printf ("t%u", g_hash_table_size (client_shapes));
-  g_hash_table_insert (client_shapes, key, name);
-  return name;
-}
-
-static void
-client_prepared_free (gpointer data)
-{
-  TouPrepared *prepared = data;
-
-  g_free (prepared->shape);
-  g_free (prepared->link_name);
-  g_free (prepared);
-}
-
 TouClient *
 tou_client_of_item (TouQueueItem *item)
 {
@@ -177,9 +136,13 @@
   client_parse (client);
 }
 
-void
-tou_client_link_lost (TouClient *client)
+/* The pinned link ended while no statement ran on it. */
+static void
+client_on_link_lost (TouPin *pin)
 {
+  TouClient *client
+      = (TouClient *)((char *)pin - G_STRUCT_OFFSET (TouClient, pin));
+
   client->link = NULL;
   client->txn_lost = TRUE;
 }
@@ -479,7 +442,7 @@
   if (in_txn && client->link == NULL)
     {
       client->link = link;
-      tou_link_pin (link, client);
+      tou_link_pin (link, &client->pin);
     }
   tou_link_run (link, &request->task);
 }
@@ -567,31 +530,11 @@
     tou_dispatch_group (tou_group_get (client->proxy, &client->route.group));
 }
 
-static void
-client_prepare (TouClient *client, const TouSqlStatement *statement)
-{
-  TouPrepared *prepared = g_new0 (TouPrepared, 1);
-
-  prepared->shape = g_strndup (statement->as.prepare.shape.data,
-                               statement->as.prepare.shape.len);
-  prepared->writes = statement->as.prepare.writes;
-  prepared->link_name
-      = g_strdup (client_shape_name (prepared->shape, prepared->writes));
-  g_hash_table_replace (client->prepared,
-                        g_strndup (statement->as.prepare.name.data,
-                                   statement->as.prepare.name.len),
-                        prepared);
-  client_answer_own (client);
-}
-
 static void
 client_execute (TouClient *client, const TouSqlStatement *statement)
 {
-  char *name = g_strndup (statement->as.execute.name.data,
-                          statement->as.execute.name.len);
-  const TouPrepared *prepared = g_hash_table_lookup (client->prepared, name);
+  const TouPrepared *prepared = tou_prepared_find (client->prepared, statement);
 
-  g_free (name);
   if (prepared != NULL)
     client_forward (client, statement, prepared);
   else
@@ -618,17 +561,6 @@
   client_answer_own (client);
 }
 
-static void
-client_deallocate (TouClient *client, const TouSqlStatement *statement)
-{
-  char *name = g_strndup (statement->as.deallocate.name.data,
-                          statement->as.deallocate.name.len);
-
-  g_hash_table_remove (client->prepared, name);
-  g_free (name);
-  client_answer_own (client);
-}
-
 /* In a failed transaction only its end is legal. */
 static void
 client_in_failed_txn (TouClient *client, const TouSqlStatement *statement)
@@ -695,10 +627,12 @@
       client_answer_own (client);
       return;
     case TOU_SQL_PREPARE:
-      client_prepare (client, statement);
+      tou_prepared_put (client->prepared, statement);
+      client_answer_own (client);
       return;
     case TOU_SQL_DEALLOCATE:
-      client_deallocate (client, statement);
+      tou_prepared_remove (client->prepared, statement);
+      client_answer_own (client);
       return;
     case TOU_SQL_INVALID:
       break;
@@ -901,12 +835,12 @@
   TouClient *client = g_new0 (TouClient, 1);
 
   client->proxy = proxy;
+  client->pin.lost = client_on_link_lost;
   client->in = g_string_new (NULL);
   client->text = g_string_new (NULL);
   client->idle_since_us = tou_clock_us ();
   client->node.data = client;
-  client->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            client_prepared_free);
+  client->prepared = tou_prepared_table ();
   tou_values_init (&client->values);
   uv_tcp_init (proxy->loop, &client->tcp);
   client->tcp.data = client;
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -38,10 +38,11 @@
   TouSqlValues values;
   GHashTable *prepared; /**< caller's name to TouPrepared */
   TouSqlState state;
-  gboolean read_only;    /**< of the open transaction */
-  gboolean wrote;        /**< the open transaction has sent a write */
-  gboolean txn_lost;     /**< its link ended while no statement ran */
-  TouLink *link;         /**< pinned by the open transaction */
+  gboolean read_only; /**< of the open transaction */
+  gboolean wrote;     /**< the open transaction has sent a write */
+  gboolean txn_lost;  /**< its link ended while no statement ran */
+  TouLink *link;      /**< pinned by the open transaction */
+  TouPin pin;
   TouRoute route;        /**< of the running statement or transaction */
   TouName seen_group;    /**< group of the position */
   gboolean seen_unknown; /**< it has committed at a position that got lost */
@@ -63,9 +64,6 @@
 void tou_client_refuse (TouClient *client, TouSqlError code,
                         const char *reason);
 
-/** The pinned link ended while no statement ran on it. */
-void tou_client_link_lost (TouClient *client);
-
 /** Queues a statement again that was not run, or a read. */
 void tou_client_requeue (TouClient *client);
 
@@ -77,7 +75,4 @@
 /** Client of a queue item. */
 TouClient *tou_client_of_item (TouQueueItem *item);
 
-/** Frees the table of statement shapes, at the end of the process. */
-void tou_client_shapes_destroy (void);
-
 G_END_DECLS
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -8,10 +8,12 @@
 
 #define CONTROL_NODE_PREFIX "tou/node/"
 
-/* A watch returns after this time without changes; the next one notices a
-   silent connection. A configuration must be in force 3 s after it is
-   acknowledged. */
-#define CONTROL_WATCH_US (1500 * TOU_US_PER_MS)
+/* A watch without changes returns after this part of the time in which a
+   configuration must be in force; the next one notices a silent connection. */
+#define CONTROL_WATCH_SHARE 2
+/* Pause after a watch that returned changes: at a start of all nodes each of
+   them would wake all others. */
+#define CONTROL_WATCH_PAUSE_US (150 * TOU_US_PER_MS)
 /* Pause after a call that failed; outages last seconds. */
 #define CONTROL_RETRY_US (200 * TOU_US_PER_MS)
 /* A node that has just started can serve nothing before it has read the
@@ -25,9 +27,10 @@
 #define CONTROL_LEASE_MARGIN_US (300 * TOU_US_PER_MS)
 /* Nodes try to get the duty one after the other, spread over this time. */
 #define CONTROL_SPREAD_MS 150
-/* The store is asked for the records when other nodes have not proved them for
-   this long; half the validity leaves time for a second try. */
-#define CONTROL_PROVE_US (TOU_AUTHORITY_VALID_US / 2)
+/* Half of the nodes have answered a heartbeat after half an interval, so proofs
+   are up to one and a half intervals old. The store is asked for the records
+   this much later: round trips between regions, ticks and a full link. */
+#define CONTROL_PROVE_US (200 * TOU_US_PER_MS)
 
 char *
 tou_record_encode (const TouGroupRecord *record)
@@ -172,7 +175,9 @@
 control_on_node (TouControl *control, const PlatStoreItem *item)
 {
   TouName node = tou_name (item->key + strlen (CONTROL_NODE_PREFIX));
+  TouName failure_domain = { 0 };
   TouName address;
+  const char *blank;
 
   if (item->deleted)
     {
@@ -180,9 +185,25 @@
       if (tou_name_equal (&node, &control->proxy->site.node))
         control->registered = FALSE;
       tou_peers_remove (control->peers, &node);
+      return;
+    }
+  blank = memchr (item->value.data, ' ', item->value.len);
+  if (blank == NULL
+      || tou_name_set (&address, item->value.data,
+                       (gsize)(blank - item->value.data))
+             != TOU_OK
+      || tou_name_set (&failure_domain, blank + 1,
+                       item->value.len - (gsize)(blank + 1 - item->value.data))
+             != TOU_OK)
+    {
+      TOU_COUNT (control->proxy, MALFORMED);
+      tou_evlog (TOU_EVLOG_STATE, "node_unreadable",
+                 "\"peer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT, node.data,
+                 item->revision);
+      return;
     }
-  else if (tou_name_set (&address, item->value.data, item->value.len) == TOU_OK)
-    tou_peers_set (control->peers, &node, &address, item->revision);
+  tou_peers_set (control->peers, &node, &address, &failure_domain,
+                 item->revision);
 }
 
 static void
@@ -207,6 +228,8 @@
 control_on_leader (TouControl *control, const PlatStoreItem *item)
 {
   control->leader_known = !item->deleted;
+  tou_name_set (&control->proxy->duty_holder, item->value.data,
+                item->deleted ? 0 : item->value.len);
   if (item->deleted)
     control->leader_free_us = tou_clock_us ();
   if (control->leading && (item->deleted || item->created > control->token))
@@ -339,6 +362,8 @@
         control_apply (control,
                        &g_array_index (reply->items, PlatStoreItem, i));
       control->revision = MAX (control->revision, reply->revision);
+      if (reply->items->len > 0)
+        control->retry_us = tou_clock_us () + CONTROL_WATCH_PAUSE_US;
       break;
     case PLAT_STORE_COMPACTED:
       control->must_list = TRUE;
@@ -368,7 +393,8 @@
       return;
     }
   control->watching = TRUE;
-  plat_store_watch (control->store, "", control->revision, CONTROL_WATCH_US,
+  plat_store_watch (control->store, "", control->revision,
+                    control->proxy->site.config_apply_us / CONTROL_WATCH_SHARE,
                     control_on_watch, control);
 }
 
@@ -386,18 +412,23 @@
 static void
 control_register (TouControl *control, guint64 now_us)
 {
+  const TouSite *site = &control->proxy->site;
   PlatStoreChange change = { 0 };
   char *key;
+  char *value;
 
   if (control->registered || control->registering || control->proxy->draining
       || now_us < control->register_us)
     return;
-  key = g_strconcat (CONTROL_NODE_PREFIX, control->proxy->site.node.data, NULL);
+  key = g_strconcat (CONTROL_NODE_PREFIX, site->node.data, NULL);
+  value = g_strconcat (site->peers_listen.data, " ", site->failure_domain.data,
+                       NULL);
   change.key = key;
-  change.value = control->proxy->site.peers_listen.data;
+  change.value = value;
   control->registering = TRUE;
   plat_store_change (control->store, &change, control_on_register, control);
   g_free (key);
+  g_free (value);
 }
 
 /* A list of the records proves each of them, and brings newer ones. */
@@ -438,11 +469,13 @@
       TouGroup *group = value;
 
       if (tou_authority_record (group->authority)->revision != 0)
-        oldest_us
-            = MIN (oldest_us, tou_authority_proved_us (
-                                  group->authority, control->proxy->n_nodes));
+        oldest_us = MIN (
+            oldest_us, tou_authority_proved_us (
+                           group->authority, control->proxy->n_nodes, now_us));
     }
-  if (oldest_us == G_MAXUINT64 || now_us < oldest_us + CONTROL_PROVE_US)
+  if (oldest_us == G_MAXUINT64
+      || now_us < oldest_us + tou_peers_interval_us (control->proxy) * 3 / 2
+                      + CONTROL_PROVE_US)
     return;
   control->proving = TRUE;
   control->proved_us = now_us;
@@ -479,6 +512,7 @@
     return;
   control->leading = TRUE;
   control->leader_known = TRUE;
+  control->proxy->duty_holder = control->proxy->site.node;
   control->token = reply->revision;
   control->lead_since_us = now_us;
   control->renew_us = now_us;
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -1,6 +1,7 @@
 #include "dispatch.h"
 
 #include "client.h"
+#include "relay.h"
 
 /* A replica that lacked a position is asked for it again after this pause,
    which doubles up to the maximum: its lag is not known. A question costs a
@@ -10,6 +11,7 @@
 /* Reads go to the primary only if it answers this many times faster than a
    replica: its slots are the only ones for writes. */
 #define DISPATCH_PRIMARY_FACTOR 2
+
 static guint64
 dispatch_cost_us (const TouEndpoint *endpoint)
 {
@@ -67,7 +69,8 @@
         continue;
       if (endpoint == primary)
         cost_us *= DISPATCH_PRIMARY_FACTOR;
-      if (!tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
+      if (!tou_window_has_room (&endpoint->window,
+                                tou_endpoint_own_busy (endpoint), urgent,
                                 now_us))
         continue;
       if (cost_us < any_cost_us)
@@ -101,14 +104,14 @@
     return;
   while (tou_queue_length (group->writes) > 0)
     {
-      gboolean urgent = !tou_window_has_room (&primary->window, primary->n_busy,
-                                              FALSE, now_us);
+      guint n_busy = tou_endpoint_own_busy (primary);
+      gboolean urgent
+          = !tou_window_has_room (&primary->window, n_busy, FALSE, now_us);
       TouLink *link = tou_endpoint_idle_link (primary, NULL);
       TouQueueItem *item;
 
       if (urgent
-          && !tou_window_has_room (&primary->window, primary->n_busy, TRUE,
-                                   now_us))
+          && !tou_window_has_room (&primary->window, n_busy, TRUE, now_us))
         return;
       if (link == NULL)
         {
@@ -177,6 +180,9 @@
   group->dispatching = TRUE;
   dispatch_reads (group, now_us);
   dispatch_writes (group, now_us);
+  /* After this node's own, which are few against those of all others. */
+  for (guint i = 0; i < group->endpoints->len; i++)
+    tou_relay_dispatch (g_ptr_array_index (group->endpoints, i), now_us);
   group->dispatching = FALSE;
 }
 
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -1,6 +1,8 @@
 #include "link-private.h"
 
 #include "dispatch.h"
+#include "gateway.h"
+#include "relay.h"
 
 #include "wire.h"
 
@@ -11,6 +13,14 @@
    may need it; the last one of an endpoint stays. */
 #define LINK_IDLE_US (1000 * TOU_US_PER_MS)
 #define LINK_IDLE_EXTRA_US (250 * TOU_US_PER_MS)
+/* Links to a gateway cost the database nothing, nor do those of a holder take
+   a connection from another node. */
+#define LINK_IDLE_GATEWAY_US (10 * TOU_US_PER_S)
+/* Links of one node through a gateway, for its transactions and statements. */
+#define ENDPOINT_GATEWAY_LINKS 16
+/* A gateway that failed is left out for as long as a database counts the
+   connections of a lost process. */
+#define ENDPOINT_AVOID_US (3 * TOU_US_PER_S)
 /* Links of one endpoint that open at the same time: one that opens may serve
    several waiting statements, and each takes a slot for 12 ms. */
 #define LINK_MAX_OPENING 2
@@ -62,11 +72,37 @@
              (now_us - endpoint->heard_us) / TOU_US_PER_MS);
 }
 
+void
+tou_endpoint_avoid_gateway (TouEndpoint *endpoint, const TouName *via,
+                            const char *reason, guint64 now_us)
+{
+  TouProxy *proxy = endpoint->proxy;
+  guint64 until_us = now_us + ENDPOINT_AVOID_US;
+
+  TOU_COUNT (proxy, GATEWAYS_AVOIDED);
+  tou_evlog (TOU_EVLOG_STATE, "gateway_avoided",
+             "\"gateway\":\"%s\",\"endpoint\":\"%s\",\"reason\":\"%s\"",
+             via->data, endpoint->info.id.data, reason);
+  g_hash_table_replace (proxy->avoided, g_memdup2 (via, sizeof *via),
+                        g_memdup2 (&until_us, sizeof until_us));
+  proxy->place_now = TRUE;
+}
+
+guint
+tou_endpoint_own_busy (const TouEndpoint *endpoint)
+{
+  return endpoint->n_busy - endpoint->n_relayed;
+}
+
 guint
 tou_endpoint_link_limit (const TouEndpoint *endpoint)
 {
   guint limit = endpoint->group->limits.connection_limit;
 
+  if (endpoint->gateway.len > 0)
+    return ENDPOINT_GATEWAY_LINKS;
+  if (endpoint->n_holders > 0)
+    return tou_gateway_share (limit, endpoint->n_holders);
   /* Half of the database's connections: load is spread unevenly over the
      nodes, and one that is refused waits for an idle link to be closed. */
   return MAX (limit / 2, 2);
@@ -77,7 +113,8 @@
 {
   guint n_opening = 0;
 
-  if (now_us < endpoint->open_after_us || endpoint->gone
+  if (now_us < MAX (endpoint->open_after_us, endpoint->proxy->settled_us)
+      || endpoint->gone
       || endpoint->links->len >= tou_endpoint_link_limit (endpoint))
     return;
   for (guint i = 0; i < endpoint->links->len; i++)
@@ -121,8 +158,9 @@
     {
       const TouLink *link = g_ptr_array_index (endpoint->links, i);
 
-      if (link->client != NULL
-          || (link->task != NULL && link->task->may_commit))
+      if ((link->pin != NULL && !link->pin->relayed)
+          || (link->task != NULL && link->task->may_commit
+              && !link->task->relayed))
         count++;
     }
   return count;
@@ -149,6 +187,8 @@
   guint n_parts = 2 * endpoint->proxy->n_nodes;
   guint limit = endpoint->group->limits.connection_limit;
 
+  if (endpoint->n_holders > 0)
+    return LINK_IDLE_GATEWAY_US;
   return endpoint->links->len <= (limit + n_parts - 1) / n_parts
              ? LINK_IDLE_US
              : LINK_IDLE_EXTRA_US;
@@ -170,22 +210,32 @@
       link = g_ptr_array_index (endpoint->links, i);
       reason = tou_link_late (link, now_us);
       if (!tou_link_is_idle (link))
-        oldest_us = MIN (oldest_us, link->client != NULL && link->task == NULL
+        oldest_us = MIN (oldest_us, link->pin != NULL && link->task == NULL
                                         ? G_MAXUINT64
                                         : link->since_us);
       if (reason != NULL)
         {
-          if (link->state != LINK_READY)
+          if (link->state != LINK_READY && link->via.len > 0)
+            tou_endpoint_avoid_gateway (endpoint, &link->via, reason, now_us);
+          else if (link->state != LINK_READY)
             tou_endpoint_silent (endpoint, reason, now_us);
           tou_link_close (link, reason);
         }
-      else if (tou_link_is_idle (link) && endpoint->links->len > 1
-               && now_us >= link->since_us + endpoint_idle_us (endpoint))
+      else if (tou_link_is_idle (link)
+               && (!tou_name_equal (&link->via, &endpoint->gateway)
+                   || (endpoint->links->len > 1
+                       && now_us
+                              >= link->since_us + endpoint_idle_us (endpoint))))
         tou_link_close (link, NULL);
     }
   if (oldest_us != G_MAXUINT64
       && now_us >= MAX (oldest_us, endpoint->heard_us) + ENDPOINT_SILENT_US)
-    tou_endpoint_silent (endpoint, "statement without answer", now_us);
+    {
+      if (endpoint->silent_us == 0 && endpoint->gateway.len > 0)
+        tou_endpoint_avoid_gateway (endpoint, &endpoint->gateway,
+                                    "statement without answer", now_us);
+      tou_endpoint_silent (endpoint, "statement without answer", now_us);
+    }
   if (endpoint->silent_us != 0 && now_us >= endpoint->open_after_us)
     {
       endpoint->open_after_us = now_us + ENDPOINT_RETRY_US;
@@ -278,6 +328,21 @@
   return endpoint;
 }
 
+void
+tou_endpoint_close_via (TouEndpoint *endpoint, const TouName *gateway)
+{
+  /* Closing a link may close others. */
+  for (guint i = endpoint->links->len; i-- > 0;)
+    {
+      TouLink *link = i < endpoint->links->len
+                          ? g_ptr_array_index (endpoint->links, i)
+                          : NULL;
+
+      if (link != NULL && tou_name_equal (&link->via, gateway))
+        tou_link_close (link, "gateway is lost");
+    }
+}
+
 static void
 endpoint_close_links (TouEndpoint *endpoint, const char *reason)
 {
@@ -315,6 +380,7 @@
 {
   endpoint->gone = TRUE;
   endpoint_close_links (endpoint, NULL);
+  tou_relay_close_all (endpoint, NULL);
   g_ptr_array_remove_fast (endpoint->group->endpoints, endpoint);
   g_ptr_array_unref (endpoint->links);
   g_free (endpoint);
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -39,7 +39,8 @@
   TouLogPos known;  /* endpoint's position when the link was opened */
   guint64 since_us; /* opened, or idle since */
   TouTask *task;
-  TouClient *client; /* pinned by its transaction */
+  TouPin *pin; /* of the transaction that the link is reserved for */
+  TouName via; /* node that holds the connection; empty: this one */
   TouSqlValues values;
   GHashTable *prepared; /* link names */
   GString *in;
@@ -70,6 +71,10 @@
 void tou_endpoint_check_log (TouEndpoint *endpoint, TouLogPos pos,
                              TouLogPos known);
 
+/** Does not send new work through @a via for a while. */
+void tou_endpoint_avoid_gateway (TouEndpoint *endpoint, const TouName *via,
+                                 const char *reason, guint64 now_us);
+
 /** The endpoint does not answer. */
 void tou_endpoint_silent (TouEndpoint *endpoint, const char *reason,
                           guint64 now_us);
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -1,6 +1,5 @@
 #include "link-private.h"
 
-#include "client.h"
 #include "dispatch.h"
 #include "stream.h"
 #include "values.h"
@@ -12,6 +11,12 @@
 /* Time for a connection and its first answer: 12 ms of a slot and two region
    round trips, behind a full queue of 24 statements of 30 ms on 3 slots. */
 #define LINK_OPEN_TIMEOUT_US (600 * TOU_US_PER_MS)
+/* Pause before the next link to a database that is full or does not listen:
+   connections come free as transactions end. */
+#define LINK_PAUSE_US (100 * TOU_US_PER_MS)
+/* The same for one that takes no link of this kind; the registry brings its
+   change of identity. */
+#define LINK_REJECTED_PAUSE_US TOU_US_PER_S
 /* Largest answer that is kept, in bytes. */
 #define LINK_MAX_ANSWER ((gsize)4 * PLAT_WIRE_MAX_MESSAGE)
 
@@ -89,12 +94,12 @@
 {
   TouEndpoint *endpoint = link->endpoint;
   TouTask *task = link->task;
-  TouClient *client = link->client;
+  TouPin *pin = link->pin;
 
   if (link->closed)
     return;
   link->closed = TRUE;
-  link->client = NULL;
+  link->pin = NULL;
   g_ptr_array_remove_fast (endpoint->links, link);
   if (reason != NULL)
     tou_evlog (
@@ -120,8 +125,8 @@
                           : TOU_TASK_LOST,
                    TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
     }
-  else if (client != NULL)
-    tou_client_link_lost (client);
+  else if (pin != NULL)
+    pin->lost (pin);
   uv_close ((uv_handle_t *)&link->tcp, link_on_closed);
 }
 
@@ -232,9 +237,9 @@
 }
 
 void
-tou_link_pin (TouLink *link, TouClient *client)
+tou_link_pin (TouLink *link, TouPin *pin)
 {
-  link->client = client;
+  link->pin = pin;
 }
 
 void
@@ -242,7 +247,7 @@
 {
   GString *out;
 
-  link->client = NULL;
+  link->pin = NULL;
   if (!link->in_txn)
     {
       tou_dispatch_group (link->endpoint->group);
@@ -304,7 +309,7 @@
   TouEndpoint *endpoint = link->endpoint;
   LinkStep step;
 
-  if (link->state == LINK_STARTING)
+  if (link->state == LINK_STARTING && link->via.len == 0)
     tou_endpoint_check_log (endpoint, reply->pos, link->known);
   if (tou_log_pos_compare (reply->pos, endpoint->known) > 0)
     endpoint->known = reply->pos;
@@ -332,13 +337,19 @@
 link_on_start_error (TouLink *link, const TouSqlReply *reply)
 {
   TouEndpoint *endpoint = link->endpoint;
-  /* A full database frees connections as transactions end. */
-  guint64 pause_us = reply->error == TOU_SQL_E_TOO_MANY_CONNECTIONS
-                         ? 100 * TOU_US_PER_MS
-                         : TOU_US_PER_S;
+  guint64 now_us = tou_clock_us ();
+  guint64 pause_us = LINK_PAUSE_US;
 
+  if (reply->error != TOU_SQL_E_TOO_MANY_CONNECTIONS && link->via.len == 0)
+    pause_us = LINK_REJECTED_PAUSE_US;
   TOU_COUNT (endpoint->proxy, LINKS_REFUSED);
-  endpoint->open_after_us = tou_clock_us () + pause_us;
+  if (link->via.len > 0 && reply->error == TOU_SQL_E_BUSY)
+    {
+      tou_endpoint_silent (endpoint, "not reachable from its gateway", now_us);
+      tou_endpoint_avoid_gateway (endpoint, &link->via, "database is lost",
+                                  now_us);
+    }
+  endpoint->open_after_us = now_us + pause_us;
   tou_link_close (link, plat_wire_error_name (reply->error));
 }
 
@@ -391,7 +402,9 @@
 
   if (n < 0)
     {
-      tou_link_close (link, "closed by the database");
+      if (link->state == LINK_STARTING)
+        link->endpoint->open_after_us = tou_clock_us () + LINK_PAUSE_US;
+      tou_link_close (link, "closed by the other side");
       return;
     }
   tou_endpoint_heard (link->endpoint, tou_clock_us ());
@@ -422,8 +435,12 @@
     {
       guint64 now_us = tou_clock_us ();
 
-      tou_endpoint_silent (link->endpoint, "connection refused", now_us);
-      link->endpoint->open_after_us = now_us + 100 * TOU_US_PER_MS;
+      if (link->via.len > 0)
+        tou_endpoint_avoid_gateway (link->endpoint, &link->via,
+                                    "connection refused", now_us);
+      else
+        tou_endpoint_silent (link->endpoint, "connection refused", now_us);
+      link->endpoint->open_after_us = now_us + LINK_PAUSE_US;
       tou_link_close (link, NULL);
       return;
     }
@@ -441,21 +458,23 @@
 void
 tou_link_open (TouEndpoint *endpoint, guint64 now_us)
 {
-  struct sockaddr_in address;
+  struct sockaddr_in address = endpoint->gateway_address;
   TouLink *link;
 
-  if (tou_stream_address (&address, &endpoint->info.address) != TOU_OK)
+  if (endpoint->gateway.len == 0
+      && tou_stream_address (&address, &endpoint->info.address) != TOU_OK)
     {
       tou_evlog (TOU_EVLOG_FAILURE, "endpoint_address",
                  "\"endpoint\":\"%s\",\"error\":\"%s\"", endpoint->info.id.data,
                  tou_status_message ());
-      endpoint->open_after_us = now_us + TOU_US_PER_S;
+      endpoint->open_after_us = now_us + LINK_REJECTED_PAUSE_US;
       return;
     }
   link = g_new0 (TouLink, 1);
   link->endpoint = endpoint;
   link->since_us = now_us;
   link->known = endpoint->known;
+  link->via = endpoint->gateway;
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -466,12 +485,15 @@
   link->tcp.data = link;
   link->connect.data = link;
   g_ptr_array_add (endpoint->links, link);
-  TOU_COUNT (endpoint->proxy, LINKS);
+  if (link->via.len > 0)
+    TOU_COUNT (endpoint->proxy, GATEWAY_LINKS);
+  else
+    TOU_COUNT (endpoint->proxy, LINKS);
   if (uv_tcp_connect (&link->connect, &link->tcp,
                       (const struct sockaddr *)&address, link_on_connected)
       != 0)
     {
-      endpoint->open_after_us = now_us + TOU_US_PER_S;
+      endpoint->open_after_us = now_us + LINK_REJECTED_PAUSE_US;
       tou_link_close (link, "cannot connect");
     }
 }
@@ -479,7 +501,7 @@
 gboolean
 tou_link_is_idle (const TouLink *link)
 {
-  return link->state == LINK_READY && link->task == NULL && link->client == NULL
+  return link->state == LINK_READY && link->task == NULL && link->pin == NULL
          && link->steps->len == 0;
 }
 
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -4,18 +4,20 @@
  */
 #pragma once
 
+#include "prepared.h"
 #include "proxy.h"
 #include "window.h"
 
 G_BEGIN_DECLS
 
-/** A statement name that a caller prepared. */
-typedef struct
+/** Reservation of a link; embedded in its owner. */
+typedef struct TouPin TouPin;
+struct TouPin
 {
-  char *shape;
-  char *link_name; /**< name on links: the same for equal shapes */
-  gboolean writes;
-} TouPrepared;
+  /** The link was closed while no task ran on it. */
+  void (*lost) (TouPin *pin);
+  gboolean relayed; /**< for another node */
+};
 
 typedef enum
 {
@@ -52,7 +54,8 @@
   TouSlice arguments;  /**< of the prepared statement */
   gboolean may_commit; /**< a write outside a transaction, or a commit */
   guint64 deadline_us;
-  guint64 sent_us; /**< set by the link; 0: the statement is not sent */
+  guint64 sent_us;  /**< set by the link; 0: the statement is not sent */
+  gboolean relayed; /**< for another node */
 };
 
 /** A database. */
@@ -66,6 +69,13 @@
   guint64 leaving_since_us; /**< draining or missing; 0: neither */
   GPtrArray *links;         /**< of TouLink */
   guint n_busy;             /**< links with a task */
+  guint n_relayed;          /**< of these, for other nodes */
+  GQueue relays;            /**< of TouRelay, sessions of other nodes */
+  GQueue relays_waiting;    /**< of TouRelay, statements without a link */
+  /** Holder of connections that new links go through; empty: none. */
+  TouName gateway;
+  struct sockaddr_in gateway_address;
+  guint n_holders; /**< nodes that hold connections; 0: all */
   TouWindow window;
   guint64 latency_us;    /**< moving average of a statement's answer */
   guint64 heard_us;      /**< last bytes received */
@@ -89,12 +99,18 @@
 /** Adopts new information; another life of the id closes all links. */
 void tou_endpoint_update (TouEndpoint *endpoint, const TouEndpointInfo *info);
 
+/** Closes the links through @a gateway; tasks end as lost. */
+void tou_endpoint_close_via (TouEndpoint *endpoint, const TouName *gateway);
+
 /** TRUE if it does not answer, or has lost the log that it led with. */
 gboolean tou_endpoint_has_failed (const TouEndpoint *endpoint);
 
 /** TRUE if new work may be sent to it. */
 gboolean tou_endpoint_is_usable (const TouEndpoint *endpoint);
 
+/** Links with a task of this node. */
+guint tou_endpoint_own_busy (const TouEndpoint *endpoint);
+
 /** Most links that this node opens to it. */
 guint tou_endpoint_link_limit (const TouEndpoint *endpoint);
 
@@ -121,8 +137,8 @@
 void tou_link_run (TouLink *link, TouTask *task);
 TouEndpoint *tou_link_endpoint (const TouLink *link);
 
-/** Reserves the link for a transaction of @a client, which hears its end. */
-void tou_link_pin (TouLink *link, TouClient *client);
+/** Reserves the link for a transaction. */
+void tou_link_pin (TouLink *link, TouPin *pin);
 /** Ends the reservation; an open transaction is rolled back. */
 void tou_link_unpin (TouLink *link);
 /** Closes the link; a running task ends as lost or not run. */
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -8,20 +8,31 @@
 
 /* Heartbeats prove that a primary may be used for 1 s; four may be lost. */
 #define PEERS_INTERVAL_US (200 * TOU_US_PER_MS)
+/* Among many nodes, of which only a majority must answer, two may be lost. */
+#define PEERS_MANY_NODES 16
+#define PEERS_MANY_INTERVAL_US (400 * TOU_US_PER_MS)
+/* Their new records need two rounds of heartbeats; a third makes up for losses
+   and a fourth for nodes that heard of the record later. */
+#define PEERS_MANY_URGENT_FOR_US (150 * TOU_US_PER_MS)
 /* While a group's primary is changed, its steps wait for heartbeats, and so
    does the use of the new primary for a moment. */
 #define PEERS_URGENT_US (50 * TOU_US_PER_MS)
 #define PEERS_URGENT_FOR_US (500 * TOU_US_PER_MS)
 /* A node is reporting if it was heard from within four heartbeats. */
 #define PEERS_REPORTING_US (1000 * TOU_US_PER_MS)
-#define PEERS_VERSION 1
+/* A node that is not heard from for this long gets no statements to pass on:
+   four heartbeats among many nodes, so that a lossy link does not count. */
+#define PEERS_ALIVE_US (1600 * TOU_US_PER_MS)
+/* A node that is not heard from for this long holds no transactions here: the
+   databases drop unreachable connections after the same time. */
+#define PEERS_LOST_US (3 * TOU_US_PER_S)
+#define PEERS_VERSION 2
 /* Fields of a message, and of each group in it with and without its record. */
-#define PEERS_FIELDS 6
+#define PEERS_FIELDS 7
 #define PEERS_RECORD_FIELDS 8
 #define PEERS_GROUP_FIELDS 4
-/* A record goes along for this long after its adoption, and to nodes that have
-   shown another one; it makes up most of a heartbeat's bytes. */
-#define PEERS_RECORD_FOR_US (1000 * TOU_US_PER_MS)
+/* Odd, with its bits spread: distinct revisions give distinct products. */
+#define PEERS_DIGEST_FACTOR G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)
 
 /* What a node says of a group. */
 typedef struct
@@ -34,11 +45,13 @@
 typedef struct
 {
   TouName node;
+  TouName failure_domain;
   struct sockaddr_in address;
   guint64 revision; /* of its registration */
   guint64 incarnation;
   guint64 heard_us;
   guint64 echo_us;    /* its send time, to be returned */
+  guint64 digest;     /* of the records that it has; 0: none known */
   GHashTable *groups; /* TouName to PeerGroup */
 } Peer;
 
@@ -47,7 +60,8 @@
   TouProxy *proxy;
   uv_udp_t udp;
   GHashTable *nodes; /* TouName to Peer */
-  guint64 next_us;
+  guint64 next_us;   /* last heartbeats to all */
+  guint64 urgent_us; /* last one to the holder of the duty, or to all */
 };
 
 static void
@@ -72,12 +86,13 @@
 {
   peer->incarnation = 0;
   peer->echo_us = 0;
+  peer->digest = 0;
   g_hash_table_remove_all (peer->groups);
 }
 
 void
 tou_peers_set (TouPeers *peers, const TouName *node, const TouName *address,
-               guint64 revision)
+               const TouName *failure_domain, guint64 revision)
 {
   struct sockaddr_in parsed;
   Peer *peer;
@@ -97,6 +112,7 @@
       g_hash_table_insert (peers->nodes, &peer->node, peer);
     }
   peer->address = parsed;
+  peer->failure_domain = *failure_domain;
   if (revision > peer->revision)
     peer_forget (peer);
   peer->revision = MAX (peer->revision, revision);
@@ -131,13 +147,12 @@
 
 /* TRUE if @a peer is known to have the same record. */
 static gboolean
-peers_has_record (const Peer *peer, const TouGroup *group, guint64 now_us)
+peers_has_record (const Peer *peer, const TouGroup *group)
 {
   const TouGroupRecord *record = tou_authority_record (group->authority);
   const PeerGroup *said = g_hash_table_lookup (peer->groups, &group->name);
 
-  return said != NULL && said->revision == record->revision && !record->moving
-         && now_us >= group->adopted_us + PEERS_RECORD_FOR_US;
+  return said != NULL && said->revision == record->revision && !record->moving;
 }
 
 static void
@@ -146,7 +161,7 @@
 {
   const TouGroupRecord *record = tou_authority_record (group->authority);
   const TouEndpoint *primary = tou_group_recorded_primary (group);
-  gboolean brief = peers_has_record (peer, group, now_us);
+  gboolean brief = peers_has_record (peer, group);
 
   msgpack_pack_array (packer, brief ? PEERS_GROUP_FIELDS : PEERS_RECORD_FIELDS);
   pack_name (packer, &group->name);
@@ -162,6 +177,42 @@
   pack_name (packer, &record->candidate);
 }
 
+/* Sum over the groups, so that their order does not matter. Nodes with the same
+   records need not list them in every heartbeat. 0: nothing to compare. */
+static guint64
+peers_digest (const TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint64 digest = 0;
+
+  if (!proxy->synced)
+    return 0;
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const TouGroup *group = value;
+      guint64 revision = tou_authority_record (group->authority)->revision;
+
+      if (revision != 0)
+        digest += (revision ^ ((guint64)tou_name_hash (&group->name) << 32))
+                  * PEERS_DIGEST_FACTOR;
+    }
+  return digest;
+}
+
+/* TRUE if @a peer learns nothing from the group's entry. */
+static gboolean
+peers_skips_group (const Peer *peer, TouGroup *group, gboolean same_records,
+                   guint64 now_us)
+{
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  return same_records && peers_has_record (peer, group)
+         && !(primary != NULL && tou_endpoint_has_failed (primary))
+         && !tou_group_is_quiet (group, now_us);
+}
+
 /* A node that has not read the store since its start does not know what it
    acknowledged before, so it says nothing of groups. */
 static void
@@ -169,6 +220,8 @@
             guint64 now_us)
 {
   TouProxy *proxy = peers->proxy;
+  guint64 digest = peers_digest (proxy);
+  gboolean same_records = digest != 0 && digest == peer->digest;
   GHashTableIter iter;
   gpointer value;
   guint n_groups = 0;
@@ -179,13 +232,15 @@
   msgpack_pack_uint64 (packer, proxy->incarnation);
   msgpack_pack_uint64 (packer, now_us);
   msgpack_pack_uint64 (packer, peer->echo_us);
+  msgpack_pack_uint64 (packer, digest);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    n_groups++;
+    n_groups += !peers_skips_group (peer, value, same_records, now_us);
   msgpack_pack_array (packer, n_groups);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    peers_pack_group (packer, peer, value, now_us);
+    if (!peers_skips_group (peer, value, same_records, now_us))
+      peers_pack_group (packer, peer, value, now_us);
 }
 
 static void
@@ -287,6 +342,48 @@
   return TRUE;
 }
 
+/* The node has the same records: it proves all of them, also those that it did
+   not list because it has nothing to say of them. */
+static void
+peers_on_same_records (TouPeers *peers, Peer *peer, guint64 echo_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      guint64 revision = tou_authority_record (group->authority)->revision;
+      PeerGroup *said;
+
+      if (revision == 0)
+        continue;
+      if (echo_us != 0)
+        tou_authority_prove_by_node (group->authority, &peer->node, revision,
+                                     echo_us);
+      said = peer_group (peer, &group->name);
+      said->revision = revision;
+    }
+}
+
+/* What a node does not list it does not hold any more. */
+static void
+peer_forget_opinions (Peer *peer)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peer->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PeerGroup *said = value;
+
+      said->suspects = FALSE;
+      said->quiet_revision = 0;
+    }
+}
+
 static gboolean
 peers_on_message (TouPeers *peers, const msgpack_object *object)
 {
@@ -297,6 +394,7 @@
   guint64 incarnation;
   guint64 sent_us;
   guint64 echo_us;
+  guint64 digest;
   gboolean counts;
 
   if (object->type != MSGPACK_OBJECT_ARRAY
@@ -306,7 +404,8 @@
       || !unpack_number (&incarnation, &fields[2])
       || !unpack_number (&sent_us, &fields[3])
       || !unpack_number (&echo_us, &fields[4])
-      || fields[5].type != MSGPACK_OBJECT_ARRAY)
+      || !unpack_number (&digest, &fields[5])
+      || fields[6].type != MSGPACK_OBJECT_ARRAY)
     return FALSE;
   peer = g_hash_table_lookup (peers->nodes, &node);
   /* A node that is not registered proves nothing. */
@@ -319,16 +418,23 @@
     }
   peer->incarnation = incarnation;
   peer->heard_us = tou_clock_us ();
-  peer->echo_us = MAX (peer->echo_us, sent_us);
+  /* Datagrams may overtake each other. */
+  if (sent_us < peer->echo_us)
+    return TRUE;
+  peer->echo_us = sent_us;
+  peer->digest = digest;
   if (echo_us > peer->heard_us)
     echo_us = 0;
   counts = tou_authority_nodes_count (
       peers->proxy->n_nodes, 1 + tou_peers_reporting (peers, peer->heard_us),
       peer->heard_us - MIN (peers->proxy->store_heard_us, peer->heard_us));
-  for (guint i = 0; i < fields[5].via.array.size; i++)
-    if (!peers_on_group (peers, peer, &fields[5].via.array.ptr[i], echo_us,
+  peer_forget_opinions (peer);
+  for (guint i = 0; i < fields[6].via.array.size; i++)
+    if (!peers_on_group (peers, peer, &fields[6].via.array.ptr[i], echo_us,
                          counts))
       return FALSE;
+  if (digest != 0 && digest == peers_digest (peers->proxy))
+    peers_on_same_records (peers, peer, counts ? echo_us : 0);
   return TRUE;
 }
 
@@ -351,34 +457,86 @@
   msgpack_unpacked_destroy (&unpacked);
 }
 
-static gboolean
-peers_is_urgent (const TouGroup *group, guint64 now_us)
+/* Steps of a change and proofs of a new record wait for heartbeats. */
+typedef enum
 {
-  return tou_authority_record (group->authority)->moving
-         || now_us < group->adopted_us + PEERS_URGENT_FOR_US;
-}
+  PEERS_CALM,
+  PEERS_TO_HOLDER, /* only the holder of the duty waits */
+  PEERS_TO_ALL
+} PeersUrgency;
 
-void
-tou_peers_tick (TouPeers *peers, guint64 now_us)
+static PeersUrgency
+peers_urgency (const TouProxy *proxy, guint64 now_us)
 {
-  TouProxy *proxy = peers->proxy;
-  guint64 interval_us = PEERS_INTERVAL_US;
+  gboolean many = proxy->n_nodes > PEERS_MANY_NODES;
+  guint64 urgent_us = many ? PEERS_MANY_URGENT_FOR_US : PEERS_URGENT_FOR_US;
+  PeersUrgency urgency = PEERS_CALM;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (peers_is_urgent (value, now_us))
-      interval_us = PEERS_URGENT_US;
-  if (!proxy->record_changed && now_us < peers->next_us + interval_us)
-    return;
-  proxy->record_changed = FALSE;
+    {
+      const TouGroup *group = value;
+
+      if (now_us < group->adopted_us + urgent_us)
+        return PEERS_TO_ALL;
+      if (!tou_authority_record (group->authority)->moving)
+        continue;
+      if (!many || proxy->duty_holder.len == 0
+          || tou_name_equal (&proxy->duty_holder, &proxy->site.node))
+        return PEERS_TO_ALL;
+      urgency = PEERS_TO_HOLDER;
+    }
+  return urgency;
+}
+
+static void
+peers_send_all (TouPeers *peers, guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
   peers->next_us = now_us;
+  peers->urgent_us = now_us;
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     peers_send (peers, value, now_us);
 }
 
+guint64
+tou_peers_interval_us (const TouProxy *proxy)
+{
+  return proxy->n_nodes > PEERS_MANY_NODES ? PEERS_MANY_INTERVAL_US
+                                           : PEERS_INTERVAL_US;
+}
+
+void
+tou_peers_tick (TouPeers *peers, guint64 now_us)
+{
+  TouProxy *proxy = peers->proxy;
+  guint64 interval_us = tou_peers_interval_us (proxy);
+  PeersUrgency urgency = peers_urgency (proxy, now_us);
+  const Peer *holder;
+
+  if (urgency == PEERS_TO_ALL)
+    interval_us = PEERS_URGENT_US;
+  /* Several records that change together go out together. */
+  if ((proxy->record_changed && now_us >= peers->next_us + PEERS_URGENT_US)
+      || now_us >= peers->next_us + interval_us)
+    {
+      proxy->record_changed = FALSE;
+      peers_send_all (peers, now_us);
+      return;
+    }
+  if (urgency != PEERS_TO_HOLDER || now_us < peers->urgent_us + PEERS_URGENT_US)
+    return;
+  peers->urgent_us = now_us;
+  holder = g_hash_table_lookup (peers->nodes, &proxy->duty_holder);
+  if (holder != NULL)
+    peers_send (peers, holder, now_us);
+}
+
 guint
 tou_peers_reporting (const TouPeers *peers, guint64 now_us)
 {
@@ -433,6 +591,45 @@
   return count;
 }
 
+GArray *
+tou_peers_nodes (const TouPeers *peers, guint64 now_us)
+{
+  const TouProxy *proxy = peers->proxy;
+  GArray *nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
+  TouGatewayNode node
+      = { proxy->site.node, proxy->site.failure_domain, TRUE, FALSE, FALSE };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_array_append_val (nodes, node);
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Peer *peer = value;
+      const guint64 *until_us
+          = g_hash_table_lookup (proxy->avoided, &peer->node);
+
+      node.node = peer->node;
+      node.failure_domain = peer->failure_domain;
+      node.alive = now_us < peer->heard_us + PEERS_ALIVE_US;
+      node.lost = now_us >= peer->heard_us + PEERS_LOST_US;
+      node.avoided = until_us != NULL && now_us < *until_us;
+      g_array_append_val (nodes, node);
+    }
+  return nodes;
+}
+
+void
+tou_peers_node_address (struct sockaddr_in *out, const TouPeers *peers,
+                        const TouName *node)
+{
+  const Peer *peer = g_hash_table_lookup (peers->nodes, node);
+
+  memset (out, 0, sizeof *out);
+  if (peer != NULL)
+    *out = peer->address;
+}
+
 const TouName *
 tou_peers_most_silent (const TouPeers *peers, guint64 *heard_us)
 {
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "gateway.h"
 #include "link.h"
 
 G_BEGIN_DECLS
@@ -23,14 +24,24 @@
  * @param revision of the registration in the store
  */
 void tou_peers_set (TouPeers *peers, const TouName *node,
-                    const TouName *address, guint64 revision);
+                    const TouName *address, const TouName *failure_domain,
+                    guint64 revision);
 void tou_peers_remove (TouPeers *peers, const TouName *node);
 /** Removes all nodes that @a nodes (TouName set) lacks. */
 void tou_peers_retain (TouPeers *peers, GHashTable *nodes);
 
+/** Time between heartbeats while no primary is changed. */
+guint64 tou_peers_interval_us (const TouProxy *proxy);
+
 /** Sends heartbeats that are due. */
 void tou_peers_tick (TouPeers *peers, guint64 now_us);
 
+/** All registered nodes as TouGatewayNode, this one first. */
+GArray *tou_peers_nodes (const TouPeers *peers, guint64 now_us);
+/** Where @a node listens; zero if it is not registered. */
+void tou_peers_node_address (struct sockaddr_in *out, const TouPeers *peers,
+                             const TouName *node);
+
 /** Registered nodes heard from lately, this one not included. */
 guint tou_peers_reporting (const TouPeers *peers, guint64 now_us);
 /** Nodes heard from lately that cannot reach the primary of @a group. */
--- /dev/null
+++ b/src/session/placement.c
@@ -0,0 +1,88 @@
+#include "placement.h"
+
+#include "gateway.h"
+#include "link.h"
+#include "relay.h"
+
+/* Changes of the nodes that are alive are noticed within this time. */
+#define PLACEMENT_INTERVAL_US (500 * TOU_US_PER_MS)
+/* At the first start of all nodes their registrations arrive for this long:
+   the number of nodes decides who holds connections. */
+#define PLACEMENT_SETTLE_US (1500 * TOU_US_PER_MS)
+
+static void
+placement_apply (TouEndpoint *endpoint, const TouGatewayNode *gateway,
+                 const TouPeers *peers)
+{
+  TouName none = { 0 };
+  const TouName *name = gateway != NULL ? &gateway->node : &none;
+
+  if (tou_name_equal (&endpoint->gateway, name))
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "gateway",
+             "\"endpoint\":\"%s\",\"gateway\":\"%s\",\"before\":\"%s\","
+             "\"holders\":%u,\"nodes\":%u",
+             endpoint->info.id.data, name->data, endpoint->gateway.data,
+             endpoint->n_holders, endpoint->proxy->n_nodes);
+  endpoint->gateway = *name;
+  endpoint->open_after_us = 0;
+  if (gateway != NULL)
+    tou_peers_node_address (&endpoint->gateway_address, peers, name);
+}
+
+/* Callers of statements through a lost node are answered at once, and its own
+   transactions end. */
+static void
+placement_check_lost (TouEndpoint *endpoint, const GArray *nodes)
+{
+  for (guint i = 1; i < nodes->len; i++)
+    {
+      const TouGatewayNode *node = &g_array_index (nodes, TouGatewayNode, i);
+
+      if (!node->alive)
+        tou_endpoint_close_via (endpoint, &node->node);
+      if (node->lost)
+        tou_relay_close_all (endpoint, &node->node);
+    }
+}
+
+void
+tou_placement_tick (TouProxy *proxy, const TouPeers *peers, guint64 now_us)
+{
+  GArray *nodes;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!proxy->synced
+      || (now_us < proxy->placed_us + PLACEMENT_INTERVAL_US
+          && !proxy->place_now))
+    return;
+  proxy->place_now = FALSE;
+  if (proxy->placed_us == 0)
+    proxy->settled_us
+        = now_us + (proxy->site.first_start ? PLACEMENT_SETTLE_US : 0);
+  proxy->placed_us = now_us;
+  nodes = tou_peers_nodes (peers, now_us);
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouEndpoint *endpoint = value;
+      const TouGatewayNode *gateway = NULL;
+
+      endpoint->n_holders = tou_gateway_holders (
+          endpoint->group->limits.connection_limit, nodes->len);
+      if (endpoint->n_holders > 0)
+        {
+          guint chosen = tou_gateway_choose (
+              (const TouGatewayNode *)(void *)nodes->data, nodes->len, 0,
+              &endpoint->info.id, &endpoint->info.failure_domain,
+              endpoint->n_holders);
+
+          if (chosen != 0)
+            gateway = &g_array_index (nodes, TouGatewayNode, chosen);
+        }
+      placement_apply (endpoint, gateway, peers);
+      placement_check_lost (endpoint, nodes);
+    }
+  g_array_unref (nodes);
+}
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -2,6 +2,7 @@
 
 #include "client.h"
 #include "dispatch.h"
+#include "relay.h"
 #include "stream.h"
 
 #include <jansson.h>
@@ -186,9 +187,9 @@
   TouName old_primary = known->primary;
 
   if (was_usable)
-    valid_until_us
-        = tou_authority_proved_us (group->authority, group->proxy->n_nodes)
-          + TOU_AUTHORITY_VALID_US;
+    valid_until_us = tou_authority_proved_us (group->authority,
+                                              group->proxy->n_nodes, now_us)
+                     + TOU_AUTHORITY_VALID_US;
   if (!tou_authority_adopt (group->authority, record))
     return;
   if (was_usable)
@@ -349,23 +350,9 @@
 int
 tou_proxy_listen (TouProxy *proxy)
 {
-  struct sockaddr_in address;
-  int status = tou_stream_address (&address, &proxy->site.callers_listen);
-  int error;
-
-  if (status != TOU_OK)
-    return status;
-  uv_tcp_init (proxy->loop, &proxy->listener);
-  proxy->listener.data = proxy;
-  error = uv_tcp_bind (&proxy->listener, (const struct sockaddr *)&address, 0);
-  if (error == 0)
-    error = uv_listen ((uv_stream_t *)&proxy->listener, PROXY_BACKLOG,
-                       proxy_on_connection);
-  if (error != 0)
-    return tou_status_set (TOU_E_IO, "cannot listen on %s: %s",
-                           proxy->site.callers_listen.data,
-                           uv_strerror (error));
-  return TOU_OK;
+  return tou_stream_listen (proxy->loop, &proxy->listener,
+                            &proxy->site.callers_listen, PROXY_BACKLOG, proxy,
+                            proxy_on_connection);
 }
 
 int
@@ -380,6 +367,8 @@
   proxy->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                          NULL, group_destroy);
   proxy->endpoints = g_hash_table_new (tou_name_hash, tou_name_equal_func);
+  proxy->avoided = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                          g_free, g_free);
   g_queue_init (&proxy->clients);
   *out = proxy;
   return TOU_OK;
@@ -399,9 +388,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     tou_endpoint_destroy (value);
   g_hash_table_destroy (proxy->endpoints);
+  g_hash_table_destroy (proxy->avoided);
   g_hash_table_destroy (proxy->groups);
   tou_routing_destroy (proxy->routing);
-  tou_client_shapes_destroy ();
+  tou_prepared_shapes_destroy ();
   g_free (proxy);
 }
 
@@ -456,15 +446,15 @@
   if (usable != (group->no_primary_us == 0))
     {
       group->no_primary_us = usable ? 0 : now_us;
-      tou_evlog (
-          TOU_EVLOG_STATE, usable ? "primary_usable" : "primary_lost",
-          "\"group\":\"%s\",\"primary\":\"%s\",\"proof_age_ms\":"
-          "%" G_GUINT64_FORMAT,
-          group->name.data,
-          tou_authority_record (group->authority)->primary.data,
-          (now_us
-           - tou_authority_proved_us (group->authority, group->proxy->n_nodes))
-              / TOU_US_PER_MS);
+      tou_evlog (TOU_EVLOG_STATE, usable ? "primary_usable" : "primary_lost",
+                 "\"group\":\"%s\",\"primary\":\"%s\",\"proof_age_ms\":"
+                 "%" G_GUINT64_FORMAT,
+                 group->name.data,
+                 tou_authority_record (group->authority)->primary.data,
+                 (now_us
+                  - tou_authority_proved_us (group->authority,
+                                             group->proxy->n_nodes, now_us))
+                     / TOU_US_PER_MS);
     }
   group_configure (group);
   tou_dispatch_group (group);
@@ -551,6 +541,7 @@
     {
       endpoint_check_missing (value, now_us);
       tou_endpoint_tick (value, now_us);
+      tou_relay_tick (value, now_us);
     }
   g_hash_table_iter_init (&iter, proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -614,12 +605,14 @@
 proxy_dump_endpoint (const TouEndpoint *endpoint)
 {
   return json_pack (
-      "{s:s,s:s,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id", endpoint->info.id.data,
-      "address", endpoint->info.address.data, "draining",
-      endpoint->info.draining, "gone", endpoint->gone, "silent",
+      "{s:s,s:s,s:s,s:i,s:b,s:b,s:b,s:i,s:i,s:i,s:I,s:I,s:I}", "id",
+      endpoint->info.id.data, "address", endpoint->info.address.data, "gateway",
+      endpoint->gateway.data, "relays", (int)endpoint->relays.length,
+      "draining", endpoint->info.draining, "gone", endpoint->gone, "silent",
       endpoint->silent_us != 0, "links", (int)endpoint->links->len, "busy",
-      (int)endpoint->n_busy, "latency_us", (json_int_t)endpoint->latency_us,
-      "term", (json_int_t)endpoint->known.term, "position",
+      (int)endpoint->n_busy, "relayed", (int)endpoint->n_relayed, "latency_us",
+      (json_int_t)endpoint->latency_us, "term",
+      (json_int_t)endpoint->known.term, "position",
       (json_int_t)endpoint->known.position);
 }
 
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -43,6 +43,11 @@
   X (RESETS, "link_resets_total", "links whose session values were cleared")   \
   X (SETS, "link_sets_total", "session values set on links")                   \
   X (PREPARES, "link_prepares_total", "statements prepared on links")          \
+  X (GATEWAY_LINKS, "gateway_links_total", "connections to gateways opened")   \
+  X (RELAYED, "relayed_total", "statements run for other nodes")               \
+  X (RELAY_REFUSED, "relay_refused_total", "statements of nodes not run")      \
+  X (RELAY_SESSIONS, "relay_sessions_total", "sessions of other nodes")        \
+  X (GATEWAYS_AVOIDED, "gateways_avoided_total", "gateways that failed")       \
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
@@ -73,6 +78,12 @@
   GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
+  uv_tcp_t relay_listener; /**< sessions of other nodes */
+  GHashTable *avoided;     /**< node to the time (us) until which it is */
+  gboolean place_now;      /**< choose gateways anew */
+  guint64 placed_us;       /**< when they were chosen */
+  guint64 settled_us;      /**< all nodes are registered; no links before */
+  TouName duty_holder;     /**< holder of the duty; empty: none is known */
   guint n_nodes;           /**< registered nodes, this one included */
   guint64 isolated_us;     /**< since when it may use no primary; 0: it may */
   guint64 store_heard_us;  /**< last answer of the store */
--- /dev/null
+++ b/src/session/relay.c
@@ -0,0 +1,499 @@
+#include "relay.h"
+
+#include "dispatch.h"
+#include "stream.h"
+#include "values.h"
+
+#include "wire.h"
+
+#include <string.h>
+
+/* Longest statement on behalf of another node, which gives up by itself at its
+   caller's time limit: the longest that is known, 10 s, and a margin. */
+#define RELAY_STATEMENT_US (12 * TOU_US_PER_S)
+/* Longest wait for a link; the other node then tries another database. */
+#define RELAY_WAIT_US (500 * TOU_US_PER_MS)
+/* Connections of other nodes that wait to be accepted. */
+#define RELAY_BACKLOG 512
+
+struct TouRelay
+{
+  TouProxy *proxy;
+  TouName peer;          /* the other node */
+  TouEndpoint *endpoint; /* NULL until the session has started */
+  GList node;            /* in the endpoint's list */
+  GList waiting;         /* in its list of waiting sessions */
+  uv_tcp_t tcp;
+  GString *in;
+  gboolean parsing;
+  gboolean closing; /* the connection is being freed */
+  gboolean gone;    /* the other node left; ends with its statement */
+  gboolean busy;    /* a statement waits or runs */
+  gboolean is_waiting;
+  guint64 since_us; /* when its last statement was received or answered */
+  TouSqlValues values;
+  GHashTable *prepared;
+  TouLink *link; /* of the open transaction */
+  TouPin pin;
+  GString *text; /* id and text of the statement */
+  TouSlice id;
+  TouTask task;
+};
+
+static void relay_parse (TouRelay *relay);
+
+static void
+relay_send (TouRelay *relay, GString *message)
+{
+  if (!relay->closing && !relay->gone)
+    tou_stream_send ((uv_stream_t *)&relay->tcp, message->str, message->len);
+  g_string_free (message, TRUE);
+}
+
+static void
+relay_on_closed (uv_handle_t *handle)
+{
+  TouRelay *relay = handle->data;
+
+  tou_values_clear (&relay->values);
+  g_hash_table_destroy (relay->prepared);
+  g_string_free (relay->in, TRUE);
+  g_string_free (relay->text, TRUE);
+  g_free (relay);
+}
+
+static void
+relay_stop_waiting (TouRelay *relay)
+{
+  if (relay->is_waiting)
+    g_queue_unlink (&relay->endpoint->relays_waiting, &relay->waiting);
+  relay->is_waiting = FALSE;
+}
+
+static void
+relay_drop_link (TouRelay *relay)
+{
+  TouLink *link = relay->link;
+
+  relay->link = NULL;
+  if (link != NULL)
+    tou_link_unpin (link);
+}
+
+/* A running statement ends first: its result ends the session. */
+static void
+relay_close (TouRelay *relay)
+{
+  if (relay->closing)
+    return;
+  relay->gone = TRUE;
+  uv_read_stop ((uv_stream_t *)&relay->tcp);
+  if (relay->busy && !relay->is_waiting)
+    return;
+  relay->closing = TRUE;
+  relay_stop_waiting (relay);
+  relay_drop_link (relay);
+  if (relay->endpoint != NULL)
+    g_queue_unlink (&relay->endpoint->relays, &relay->node);
+  uv_close ((uv_handle_t *)&relay->tcp, relay_on_closed);
+}
+
+static void
+relay_reject (TouRelay *relay, TouSqlError code, const char *reason)
+{
+  GString *out = g_string_new (NULL);
+
+  plat_wire_put_error (out, code, reason);
+  relay_send (relay, out);
+  relay_close (relay);
+}
+
+/* Answers a statement that changes only the session. */
+static void
+relay_answer_own (TouRelay *relay)
+{
+  GString *out = g_string_new (NULL);
+
+  plat_wire_put_complete (out, NULL);
+  plat_wire_put_ready (
+      out, relay->link != NULL ? TOU_SQL_STATE_OPEN : TOU_SQL_STATE_IDLE,
+      (TouLogPos){ 0 });
+  relay_send (relay, out);
+}
+
+/* Refuses a statement that has not run, outside a transaction. */
+static void
+relay_refuse (TouRelay *relay, const char *reason)
+{
+  GString *out = g_string_new (NULL);
+
+  TOU_COUNT (relay->proxy, RELAY_REFUSED);
+  tou_evlog (TOU_EVLOG_FAILURE, "relay_refused",
+             "\"endpoint\":\"%s\",\"reason\":\"%s\",\"links\":%u,"
+             "\"busy\":%u",
+             relay->endpoint->info.id.data, reason, relay->endpoint->links->len,
+             relay->endpoint->n_busy);
+  relay->busy = FALSE;
+  plat_wire_put_error (out, TOU_SQL_E_BUSY, reason);
+  plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
+  relay_send (relay, out);
+}
+
+static void
+relay_on_link_lost (TouPin *pin)
+{
+  TouRelay *relay = (TouRelay *)((char *)pin - G_STRUCT_OFFSET (TouRelay, pin));
+
+  relay->link = NULL;
+  relay_close (relay);
+}
+
+static void
+relay_answered (TouRelay *relay, TouLink *link, const TouTaskResult *result)
+{
+  GString *out = g_string_sized_new (result->lines->len + 32);
+
+  g_string_append_len (out, result->lines->str, (gssize)result->lines->len);
+  plat_wire_put_ready (out, result->state, result->pos);
+  relay_send (relay, out);
+  if (result->state == TOU_SQL_STATE_IDLE)
+    relay_drop_link (relay);
+  else if (relay->link == NULL && link != NULL)
+    {
+      relay->link = link;
+      tou_link_pin (link, &relay->pin);
+    }
+}
+
+static void
+relay_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
+{
+  TouRelay *relay
+      = (TouRelay *)((char *)task - G_STRUCT_OFFSET (TouRelay, task));
+  TouEndpoint *endpoint = relay->endpoint;
+  gboolean in_txn = relay->link != NULL;
+
+  endpoint->n_relayed--;
+  relay->busy = FALSE;
+  relay->since_us = tou_clock_us ();
+  if (link == NULL)
+    relay->link = NULL;
+  if (result->outcome == TOU_TASK_ANSWERED)
+    relay_answered (relay, link, result);
+  else if (result->outcome == TOU_TASK_NOT_RUN && !in_txn)
+    relay_refuse (relay, "not taken by the database");
+  else
+    relay->gone = TRUE;
+  if (relay->gone)
+    relay_close (relay);
+  else
+    relay_parse (relay);
+  tou_dispatch_group (endpoint->group);
+}
+
+static void
+relay_run (TouRelay *relay, TouLink *link)
+{
+  TOU_COUNT (relay->proxy, RELAYED);
+  relay->task.deadline_us = tou_clock_us () + RELAY_STATEMENT_US;
+  relay->endpoint->n_relayed++;
+  tou_link_run (link, &relay->task);
+}
+
+void
+tou_relay_dispatch (TouEndpoint *endpoint, guint64 now_us)
+{
+  while (endpoint->relays_waiting.head != NULL)
+    {
+      TouRelay *relay = endpoint->relays_waiting.head->data;
+      TouLink *link = tou_endpoint_idle_link (endpoint, &relay->task);
+
+      if (link == NULL)
+        {
+          tou_endpoint_want_link (endpoint, now_us);
+          return;
+        }
+      relay_stop_waiting (relay);
+      relay_run (relay, link);
+    }
+}
+
+/* The other node ends idle transactions itself, unless it cannot. */
+static void
+relay_end_idle_txns (TouEndpoint *endpoint, guint64 now_us)
+{
+  const TouRouting *routing = endpoint->proxy->routing;
+  GList *next;
+
+  for (GList *node = endpoint->relays.head; node != NULL && routing != NULL;
+       node = next)
+    {
+      TouRelay *relay = node->data;
+
+      next = node->next;
+      if (relay->link != NULL && !relay->busy
+          && now_us >= relay->since_us + routing->txn_idle_us + RELAY_WAIT_US)
+        relay_close (relay);
+    }
+}
+
+void
+tou_relay_tick (TouEndpoint *endpoint, guint64 now_us)
+{
+  const char *reason = endpoint->gone ? "database is gone"
+                       : tou_endpoint_has_failed (endpoint)
+                           ? "database does not answer"
+                           : NULL;
+
+  relay_end_idle_txns (endpoint, now_us);
+  while (endpoint->relays_waiting.head != NULL)
+    {
+      TouRelay *relay = endpoint->relays_waiting.head->data;
+
+      if (reason == NULL && now_us < relay->since_us + RELAY_WAIT_US)
+        return;
+      relay_stop_waiting (relay);
+      relay_refuse (relay, reason != NULL ? reason : "no connection is free");
+      relay_parse (relay);
+    }
+}
+
+/* Gives the statement to the transaction's link, or to the next idle one. */
+static void
+relay_queue (TouRelay *relay, const TouSqlStatement *statement, TouSlice text,
+             TouLogPos after)
+{
+  TouTask *task = &relay->task;
+
+  memset (task, 0, sizeof *task);
+  task->done = relay_on_result;
+  task->owner = relay->endpoint;
+  task->relayed = TRUE;
+  task->text = text;
+  task->after = after;
+  task->values = &relay->values;
+  if (!plat_wire_is_own (relay->id))
+    task->id = &relay->id;
+  if (statement->kind == TOU_SQL_EXECUTE)
+    {
+      task->prepared = tou_prepared_find (relay->prepared, statement);
+      task->arguments = statement->as.execute.arguments;
+    }
+  relay->busy = TRUE;
+  if (relay->link != NULL)
+    {
+      relay_run (relay, relay->link);
+      return;
+    }
+  relay->is_waiting = TRUE;
+  relay->since_us = tou_clock_us ();
+  g_queue_push_tail_link (&relay->endpoint->relays_waiting, &relay->waiting);
+  tou_dispatch_group (relay->endpoint->group);
+}
+
+/* Statements of the other node's own that need no database.
+   @return FALSE if this is none */
+static gboolean
+relay_own_statement (TouRelay *relay, const TouSqlStatement *statement,
+                     TouSlice text)
+{
+  switch (statement->kind)
+    {
+    case TOU_SQL_SET:
+      tou_values_set (&relay->values, statement->as.set.name,
+                      statement->as.set.value);
+      break;
+    case TOU_SQL_PREPARE:
+      tou_prepared_put (relay->prepared, statement);
+      break;
+    case TOU_SQL_ROLLBACK:
+      relay_drop_link (relay);
+      break;
+    case TOU_SQL_INVALID:
+      if (!tou_slice_is (text, PLAT_WIRE_RESET_TEXT))
+        return FALSE;
+      tou_values_reset (&relay->values);
+      g_hash_table_remove_all (relay->prepared);
+      break;
+    case TOU_SQL_BEGIN:
+    case TOU_SQL_COMMIT:
+    case TOU_SQL_READ:
+    case TOU_SQL_WRITE:
+    case TOU_SQL_EXECUTE:
+    case TOU_SQL_DEALLOCATE:
+      return FALSE;
+    }
+  relay_answer_own (relay);
+  return TRUE;
+}
+
+static void
+relay_on_query (TouRelay *relay, const TouSqlCallerMessage *message)
+{
+  TouSqlStatement statement;
+  TouLogPos after;
+  TouSlice text;
+
+  g_string_truncate (relay->text, 0);
+  g_string_append_len (relay->text, message->id.data, (gssize)message->id.len);
+  g_string_append_c (relay->text, ' ');
+  g_string_append_len (relay->text, message->text.data,
+                       (gssize)message->text.len);
+  relay->id = (TouSlice){ relay->text->str, message->id.len };
+  text
+      = (TouSlice){ relay->text->str + message->id.len + 1, message->text.len };
+  if (!plat_wire_take_after (&after, &text))
+    {
+      TOU_COUNT (relay->proxy, MALFORMED);
+      relay_close (relay);
+      return;
+    }
+  plat_wire_statement (&statement, text);
+  if (plat_wire_is_own (relay->id)
+      && relay_own_statement (relay, &statement, text))
+    return;
+  relay_queue (relay, &statement, text, after);
+}
+
+static void
+relay_on_startup (TouRelay *relay, const TouSqlCallerMessage *message)
+{
+  TouEndpoint *endpoint = NULL;
+  TouName id;
+  GString *out;
+
+  if (message->user.len <= TOU_NAME_MAX
+      && tou_name_set (&id, message->endpoint.data, message->endpoint.len)
+             == TOU_OK)
+    endpoint = g_hash_table_lookup (relay->proxy->endpoints, &id);
+  if (endpoint == NULL || endpoint->gone
+      || !tou_slice_is (message->database, endpoint->group->name.data))
+    {
+      relay_reject (relay, TOU_SQL_E_MOVED, "not known at this node");
+      return;
+    }
+  if (tou_endpoint_has_failed (endpoint))
+    {
+      relay_reject (relay, TOU_SQL_E_BUSY, "not reachable from this node");
+      return;
+    }
+  tou_name_set (&relay->peer, message->user.data, message->user.len);
+  relay->endpoint = endpoint;
+  g_queue_push_tail_link (&endpoint->relays, &relay->node);
+  TOU_COUNT (relay->proxy, RELAY_SESSIONS);
+  out = g_string_new (NULL);
+  plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
+  relay_send (relay, out);
+}
+
+static void
+relay_on_message (TouRelay *relay, TouSlice line)
+{
+  TouSqlCallerMessage message;
+
+  plat_wire_caller_message (&message, line);
+  if (message.kind == TOU_SQL_CALLER_STARTUP && relay->endpoint == NULL)
+    relay_on_startup (relay, &message);
+  else if (message.kind == TOU_SQL_CALLER_QUERY && relay->endpoint != NULL)
+    relay_on_query (relay, &message);
+  else
+    {
+      if (message.kind == TOU_SQL_CALLER_INVALID)
+        TOU_COUNT (relay->proxy, MALFORMED);
+      relay_close (relay);
+    }
+}
+
+static void
+relay_parse (TouRelay *relay)
+{
+  gsize used = 0;
+  gsize len;
+  TouSlice line;
+
+  if (relay->parsing)
+    return;
+  relay->parsing = TRUE;
+  while (!relay->gone && !relay->busy
+         && (len = plat_wire_line (&line, relay->in->str + used,
+                                   relay->in->len - used))
+                > 0)
+    {
+      used += len;
+      relay_on_message (relay, line);
+    }
+  g_string_erase (relay->in, 0, (gssize)used);
+  relay->parsing = FALSE;
+  if (!relay->gone && relay->in->len > PLAT_WIRE_MAX_MESSAGE)
+    relay_close (relay);
+}
+
+static void
+relay_on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  TouRelay *relay = stream->data;
+
+  if (n < 0)
+    {
+      relay_close (relay);
+      return;
+    }
+  g_string_append_len (relay->in, buf->base, n);
+  relay_parse (relay);
+}
+
+static void
+relay_on_connection (uv_stream_t *server, int status)
+{
+  TouProxy *proxy = server->data;
+  TouRelay *relay;
+
+  if (status != 0)
+    {
+      tou_evlog (TOU_EVLOG_FAILURE, "accept_node", "\"error\":\"%s\"",
+                 uv_strerror (status));
+      return;
+    }
+  relay = g_new0 (TouRelay, 1);
+  relay->proxy = proxy;
+  relay->in = g_string_new (NULL);
+  relay->text = g_string_new (NULL);
+  relay->node.data = relay;
+  relay->waiting.data = relay;
+  relay->pin.lost = relay_on_link_lost;
+  relay->pin.relayed = TRUE;
+  relay->prepared = tou_prepared_table ();
+  tou_values_init (&relay->values);
+  uv_tcp_init (proxy->loop, &relay->tcp);
+  relay->tcp.data = relay;
+  if (uv_accept (server, (uv_stream_t *)&relay->tcp) != 0)
+    {
+      relay_close (relay);
+      return;
+    }
+  tou_stream_tune (&relay->tcp);
+  uv_read_start ((uv_stream_t *)&relay->tcp, tou_stream_alloc, relay_on_read);
+}
+
+void
+tou_relay_close_all (TouEndpoint *endpoint, const TouName *peer)
+{
+  GList *next;
+
+  for (GList *node = endpoint->relays.head; node != NULL; node = next)
+    {
+      TouRelay *relay = node->data;
+
+      next = node->next;
+      if (peer == NULL || tou_name_equal (peer, &relay->peer))
+        relay_close (relay);
+    }
+}
+
+int
+tou_relay_listen (TouProxy *proxy)
+{
+  return tou_stream_listen (proxy->loop, &proxy->relay_listener,
+                            &proxy->site.peers_listen, RELAY_BACKLOG, proxy,
+                            relay_on_connection);
+}
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -2,6 +2,8 @@
 
 #include "admin.h"
 #include "control.h"
+#include "placement.h"
+#include "relay.h"
 
 #include <malloc.h>
 #include <signal.h>
@@ -90,6 +92,7 @@
   TouSessiond *daemon = timer->data;
   guint64 now_us = tou_clock_us ();
 
+  tou_placement_tick (daemon->proxy, daemon->peers, now_us);
   tou_proxy_tick (daemon->proxy, now_us);
   tou_peers_tick (daemon->peers, now_us);
   if (daemon->leave_us == 0)
@@ -143,6 +146,8 @@
                                  daemon.peers);
   if (status == TOU_OK)
     status = tou_admin_create (&daemon.admin, daemon.proxy);
+  if (status == TOU_OK)
+    status = tou_relay_listen (daemon.proxy);
   if (status == TOU_OK)
     status = tou_proxy_listen (daemon.proxy);
   if (status == TOU_OK)
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -17,6 +17,9 @@
   gsize len;
 } TouSlice;
 
+/** TRUE if the bytes are those of @a word. */
+gboolean tou_slice_is (TouSlice slice, const char *word);
+
 typedef enum
 {
   TOU_SQL_INVALID,
@@ -102,7 +105,9 @@
     TOU_SQL_CALLER_QUERY,
     TOU_SQL_CALLER_TERMINATE
   } kind;
-  TouSlice database; /**< STARTUP */
+  TouSlice database; /**< STARTUP; between nodes, the database group */
+  TouSlice user;     /**< STARTUP; may be empty */
+  TouSlice endpoint; /**< STARTUP between nodes; else empty */
   TouSlice id;       /**< QUERY */
   TouSlice text;     /**< QUERY */
 } TouSqlCallerMessage;
--- a/src/session/stream.c
+++ b/src/session/stream.c
@@ -85,3 +85,25 @@
     setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
                 sizeof timeout_ms);
 }
+
+int
+tou_stream_listen (uv_loop_t *loop, uv_tcp_t *server, const TouName *address,
+                   int backlog, gpointer user_data,
+                   uv_connection_cb on_connection)
+{
+  struct sockaddr_in parsed;
+  int status = tou_stream_address (&parsed, address);
+  int error;
+
+  if (status != TOU_OK)
+    return status;
+  uv_tcp_init (loop, server);
+  server->data = user_data;
+  error = uv_tcp_bind (server, (const struct sockaddr *)&parsed, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)server, backlog, on_connection);
+  if (error != 0)
+    return tou_status_set (TOU_E_IO, "cannot listen on %s: %s", address->data,
+                           uv_strerror (error));
+  return TOU_OK;
+}
--- a/src/session/stream.h
+++ b/src/session/stream.h
@@ -23,6 +23,15 @@
  */
 int tou_stream_address (struct sockaddr_in *out, const TouName *address);
 
+/**
+ * Listens on @a address; @a server's data is set to @a user_data.
+ *
+ * @return TOU_E_IO or TOU_E_SETTING_INVALID with a message
+ */
+int tou_stream_listen (uv_loop_t *loop, uv_tcp_t *server,
+                       const TouName *address, int backlog, gpointer user_data,
+                       uv_connection_cb on_connection);
+
 /** Sets no-delay and a bound on unacknowledged data. */
 void tou_stream_tune (uv_tcp_t *tcp);
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -3,6 +3,7 @@
 #include "line-database.h"
 
 #include "link.h"
+#include "relay.h"
 #include "stream.h"
 
 #include <stdio.h>
@@ -36,6 +37,7 @@
   TouGroup *group;
   guint64 next_id;
   gboolean unproved; /* the record is not proved for now */
+  TouProxy *holder;  /* node that holds connections, or NULL */
   GString *out;
 } Script;
 
@@ -50,6 +52,8 @@
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
   tou_proxy_tick (script->proxy, now_us);
+  if (script->holder != NULL)
+    tou_proxy_tick (script->holder, now_us);
 }
 
 static void
@@ -192,6 +196,63 @@
   g_hash_table_insert (script->proxy->endpoints, &endpoint->info.id, endpoint);
 }
 
+/* Reaches the database through another node. */
+static void
+run_via (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *endpoint = g_hash_table_lookup (script->proxy->endpoints, &id);
+  TouEndpoint *held;
+  TouSite site = { 0 };
+  int len = sizeof endpoint->gateway_address;
+
+  site.node = tou_name ("n2");
+  site.peers_listen = tou_name ("127.0.0.1:0");
+  if (script->holder == NULL)
+    {
+      tou_proxy_create (&script->holder, &script->loop, &site);
+      if (tou_relay_listen (script->holder) != TOU_OK)
+        g_string_append_printf (script->out, "%s\n", tou_status_message ());
+    }
+  held = tou_endpoint_create (script->holder, &endpoint->info);
+  held->group->limits.connection_limit = (guint)strtoull (words[2], NULL, 10);
+  g_hash_table_insert (script->holder->endpoints, &held->info.id, held);
+  endpoint->gateway = site.node;
+  uv_tcp_getsockname (&script->holder->relay_listener,
+                      (struct sockaddr *)&endpoint->gateway_address, &len);
+}
+
+/* The node that holds connections ends. */
+static void
+run_holder_lost (Script *script)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  uv_close ((uv_handle_t *)&script->holder->relay_listener, NULL);
+  g_hash_table_iter_init (&iter, script->holder->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tou_relay_close_all (value, NULL);
+  tou_proxy_destroy (script->holder);
+  script->holder = NULL;
+}
+
+/* The nodes agree that the holder does not answer any more. */
+static void
+run_holder_silent (Script *script)
+{
+  TouName node = tou_name ("n2");
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, script->proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ((TouEndpoint *)value)->gateway.len = 0;
+      tou_endpoint_close_via (value, &node);
+    }
+}
+
 static void
 run_route (Script *script, char **words)
 {
@@ -384,6 +445,19 @@
   g_string_append_printf (script->out, "-- %s\n", line);
   if (strcmp (words[0], "db") == 0)
     run_db (script, words);
+  else if (strcmp (words[0], "via") == 0)
+    run_via (script, words);
+  else if (strcmp (words[0], "holder-lost") == 0)
+    run_holder_lost (script);
+  else if (strcmp (words[0], "holder-silent") == 0)
+    run_holder_silent (script);
+  else if (strcmp (words[0], "counts") == 0)
+    g_string_append_printf (
+        script->out, "%s relayed statements\n",
+        script->holder != NULL
+                && script->holder->counters[TOU_COUNT_RELAYED] > 0
+            ? "some"
+            : "no");
   else if (strcmp (words[0], "route") == 0)
     run_route (script, words);
   else if (strcmp (words[0], "record") == 0)
@@ -432,6 +506,8 @@
     line_database_close (value);
   uv_run (&script->loop, UV_RUN_NOWAIT);
   tou_proxy_destroy (script->proxy);
+  if (script->holder != NULL)
+    run_holder_lost (script);
   uv_run (&script->loop, UV_RUN_DEFAULT);
   if (uv_loop_close (&script->loop) != 0)
     g_string_append (script->out, "handles are left open\n");
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -2,6 +2,7 @@
 
 #include "authority.h"
 #include "freshness.h"
+#include "gateway.h"
 #include "handover.h"
 #include "values.h"
 #include "window.h"
@@ -27,6 +28,7 @@
   guint slots;
   TouHandover *handover;
   TouHandoverView view;
+  GArray *nodes; /* of TouGatewayNode */
 } Script;
 
 typedef struct
@@ -386,6 +388,85 @@
   return TRUE;
 }
 
+/* Adds nodes NAME/DOMAIN. */
+static void
+add_nodes (Script *script, const Command *command)
+{
+  for (int i = 1; i < command->count; i++)
+    {
+      char **parts = g_strsplit (word (command, i), "/", 2);
+      TouGatewayNode node
+          = { tou_name (parts[0]), tou_name (parts[1]), TRUE, FALSE, FALSE };
+
+      g_array_append_val (script->nodes, node);
+      g_strfreev (parts);
+    }
+}
+
+static TouGatewayNode *
+find_node (Script *script, const char *name)
+{
+  TouName wanted = tou_name (name);
+
+  for (guint i = 0; i < script->nodes->len; i++)
+    {
+      TouGatewayNode *node = &g_array_index (script->nodes, TouGatewayNode, i);
+
+      if (tou_name_equal (&node->node, &wanted))
+        return node;
+    }
+  return NULL;
+}
+
+/* How many nodes reach the endpoint through each holder. */
+static void
+run_choose (Script *script, const Command *command)
+{
+  TouName endpoint = tou_name (word (command, 1));
+  TouName failure_domain = tou_name (word (command, 2));
+  guint *uses = g_new0 (guint, script->nodes->len);
+  guint n_nodes = script->nodes->len;
+  const TouGatewayNode *nodes = (const void *)script->nodes->data;
+
+  for (guint i = 0; i < n_nodes; i++)
+    if (nodes[i].alive)
+      uses[tou_gateway_choose (nodes, n_nodes, i, &endpoint, &failure_domain,
+                               (guint)number (command, 3))]++;
+  for (guint i = 0; i < n_nodes; i++)
+    if (uses[i] > 0)
+      g_string_append_printf (script->out, "%s in %s: %u nodes\n",
+                              nodes[i].node.data, nodes[i].failure_domain.data,
+                              uses[i]);
+  g_free (uses);
+}
+
+static gboolean
+run_gateway (Script *script, const Command *command)
+{
+  TouGatewayNode *node = find_node (script, word (command, 1));
+
+  if (is_word (command, 0, "holders"))
+    {
+      guint n_holders = tou_gateway_holders ((guint)number (command, 1),
+                                             (guint)number (command, 2));
+
+      g_string_append_printf (
+          script->out, "%u holders, %u each\n", n_holders,
+          tou_gateway_share ((guint)number (command, 1), n_holders));
+    }
+  else if (is_word (command, 0, "nodes"))
+    add_nodes (script, command);
+  else if (is_word (command, 0, "choose"))
+    run_choose (script, command);
+  else if (is_word (command, 0, "node-silent") && node != NULL)
+    node->alive = FALSE;
+  else if (is_word (command, 0, "node-avoided") && node != NULL)
+    node->avoided = TRUE;
+  else
+    return FALSE;
+  return TRUE;
+}
+
 static gboolean
 run_window (Script *script, const Command *command)
 {
@@ -524,7 +605,7 @@
 
   if (!run_decoder (script, &command) && !run_authority (script, &command)
       && !run_link (script, &command) && !run_window (script, &command)
-      && !run_handover (script, &command))
+      && !run_gateway (script, &command) && !run_handover (script, &command))
     g_string_append_printf (script->out, "unknown command: %s\n", line);
   g_strfreev (words);
 }
@@ -539,6 +620,7 @@
   script.out = g_string_new (NULL);
   tou_authority_create (&script.authority);
   tou_freshness_create (&script.freshness);
+  script.nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
   tou_handover_create (&script.handover);
   tou_values_init (&script.have);
   tou_values_init (&script.want);
@@ -547,6 +629,7 @@
       run_line (&script, *line);
   tou_authority_destroy (script.authority);
   tou_freshness_destroy (script.freshness);
+  g_array_unref (script.nodes);
   tou_handover_destroy (script.handover);
   tou_values_clear (&script.have);
   tou_values_clear (&script.want);
--- a/tests/test-heartbeat.c
+++ b/tests/test-heartbeat.c
@@ -56,7 +56,7 @@
 
   assert_int_equal (tou_peers_address (&address, fleet->peers[node]), TOU_OK);
   tou_peers_set (fleet->peers[at], &fleet->proxies[node]->site.node, &address,
-                 revision);
+                 &fleet->proxies[node]->site.failure_domain, revision);
 }
 
 /* Adds a node and registers it with all. */
