Queue statements of other nodes by rank at the gateway

After a loss of power the holders' dead connections (40 of 46, counted for 3 s) let nobody in: links 0 at 37.0 s.

Change: a statement's rank and time limit go ahead of it to the gateway, which queues it (TouQueue: ranks, floors, early refusal) and lets as many run as its window allows, its own statements included. A refusal by the database is tried again there. Nodes without connections leave the silence of a database to their gateways, avoid a gateway for one database at a time, and do not send a write again that the gateway refused. Holders close idle connections as single nodes do, so half stay free. At a first start links wait until no further node is registered.

Ruled out: windows at the nodes without connections (too few statements each to measure a database); waiting for a connection until the time limit when transactions hold all of them (refused after 0.5 s: relay-full).

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -305,8 +305,11 @@
     }
   if (result->error == TOU_SQL_E_BUSY)
     tou_window_refused (&endpoint->window, tou_clock_us ());
-  /* Outside a transaction nothing else depends on where it runs. */
-  if (client->state == TOU_SQL_STATE_IDLE
+  /* Outside a transaction nothing else depends on where it runs. A gateway has
+     let it wait for the primary as long as that was of use. */
+  if (!(result->error == TOU_SQL_E_BUSY && endpoint->gateway.len > 0
+        && request->needs_primary)
+      && client->state == TOU_SQL_STATE_IDLE
       && (not_run || !request->task.may_commit)
       && client_retry (client, endpoint))
     return;
@@ -434,6 +437,7 @@
   request->task.after
       = request->needs_primary ? (TouLogPos){ 0 } : request->after;
   request->task.values = &client->values;
+  request->task.rank = client->route.rank;
   request->task.deadline_us = request->deadline_us;
   if (endpoint == tou_group_recorded_primary (endpoint->group))
     TOU_COUNT (client->proxy, PRIMARY);
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -69,9 +69,7 @@
         continue;
       if (endpoint == primary)
         cost_us *= DISPATCH_PRIMARY_FACTOR;
-      if (!tou_window_has_room (&endpoint->window,
-                                tou_endpoint_own_busy (endpoint), urgent,
-                                now_us))
+      if (!tou_endpoint_has_room (endpoint, urgent, now_us))
         continue;
       if (cost_us < any_cost_us)
         {
@@ -104,14 +102,11 @@
     return;
   while (tou_queue_length (group->writes) > 0)
     {
-      guint n_busy = tou_endpoint_own_busy (primary);
-      gboolean urgent
-          = !tou_window_has_room (&primary->window, n_busy, FALSE, now_us);
+      gboolean urgent = !tou_endpoint_has_room (primary, FALSE, now_us);
       TouLink *link = tou_endpoint_idle_link (primary, NULL);
       TouQueueItem *item;
 
-      if (urgent
-          && !tou_window_has_room (&primary->window, n_busy, TRUE, now_us))
+      if (urgent && !tou_endpoint_has_room (primary, TRUE, now_us))
         return;
       if (link == NULL)
         {
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -13,8 +13,7 @@
    may need it; the last one of an endpoint stays. */
 #define LINK_IDLE_US (1000 * TOU_US_PER_MS)
 #define LINK_IDLE_EXTRA_US (250 * TOU_US_PER_MS)
-/* Links to a gateway cost the database nothing, nor do those of a holder take
-   a connection from another node. */
+/* Links to a gateway cost the database nothing. */
 #define LINK_IDLE_GATEWAY_US (10 * TOU_US_PER_S)
 /* Links of one node through a gateway, for its transactions and statements. */
 #define ENDPOINT_GATEWAY_LINKS 16
@@ -28,6 +27,10 @@
 #define ENDPOINT_PROBE_US (600 * TOU_US_PER_MS)
 /* Silence is checked against the oldest statement under way. */
 #define ENDPOINT_SILENT_US (500 * TOU_US_PER_MS)
+/* The same through a gateway, where a statement may wait. The gateway notices
+   a silent database itself, and a lost gateway misses its heartbeats; this is
+   for a connection that went silent. */
+#define ENDPOINT_GATEWAY_SILENT_US (1500 * TOU_US_PER_MS)
 /* A silent endpoint is tried again this often. */
 #define ENDPOINT_RETRY_US (250 * TOU_US_PER_MS)
 
@@ -77,21 +80,26 @@
                             const char *reason, guint64 now_us)
 {
   TouProxy *proxy = endpoint->proxy;
-  guint64 until_us = now_us + ENDPOINT_AVOID_US;
+  TouAvoidedGateway *avoided
+      = &endpoint->avoided[endpoint->n_avoided++ % TOU_MAX_AVOIDED];
 
   TOU_COUNT (proxy, GATEWAYS_AVOIDED);
   tou_evlog (TOU_EVLOG_STATE, "gateway_avoided",
              "\"gateway\":\"%s\",\"endpoint\":\"%s\",\"reason\":\"%s\"",
              via->data, endpoint->info.id.data, reason);
-  g_hash_table_replace (proxy->avoided, g_memdup2 (via, sizeof *via),
-                        g_memdup2 (&until_us, sizeof until_us));
+  avoided->node = *via;
+  avoided->until_us = now_us + ENDPOINT_AVOID_US;
   proxy->place_now = TRUE;
 }
 
-guint
-tou_endpoint_own_busy (const TouEndpoint *endpoint)
+gboolean
+tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
+                       guint64 now_us)
 {
-  return endpoint->n_busy - endpoint->n_relayed;
+  /* The gateway knows the load of many nodes, and queues by rank. */
+  return endpoint->gateway.len > 0
+         || tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
+                                 now_us);
 }
 
 guint
@@ -187,8 +195,10 @@
   guint n_parts = 2 * endpoint->proxy->n_nodes;
   guint limit = endpoint->group->limits.connection_limit;
 
-  if (endpoint->n_holders > 0)
+  if (endpoint->gateway.len > 0)
     return LINK_IDLE_GATEWAY_US;
+  if (endpoint->n_holders > 0)
+    n_parts = 2 * endpoint->n_holders;
   return endpoint->links->len <= (limit + n_parts - 1) / n_parts
              ? LINK_IDLE_US
              : LINK_IDLE_EXTRA_US;
@@ -198,6 +208,8 @@
 tou_endpoint_tick (TouEndpoint *endpoint, guint64 now_us)
 {
   guint64 oldest_us = G_MAXUINT64;
+  guint64 silent_us = endpoint->gateway.len > 0 ? ENDPOINT_GATEWAY_SILENT_US
+                                                : ENDPOINT_SILENT_US;
 
   for (guint i = endpoint->links->len; i-- > 0;)
     {
@@ -229,7 +241,7 @@
         tou_link_close (link, NULL);
     }
   if (oldest_us != G_MAXUINT64
-      && now_us >= MAX (oldest_us, endpoint->heard_us) + ENDPOINT_SILENT_US)
+      && now_us >= MAX (oldest_us, endpoint->heard_us) + silent_us)
     {
       if (endpoint->silent_us == 0 && endpoint->gateway.len > 0)
         tou_endpoint_avoid_gateway (endpoint, &endpoint->gateway,
@@ -289,6 +301,7 @@
   endpoint->probing = TRUE;
   memset (&endpoint->probe, 0, sizeof endpoint->probe);
   endpoint->probe.done = endpoint_on_probe;
+  endpoint->probe.rank = TOU_RANK_URGENT;
   endpoint->probe.deadline_us = now_us + ENDPOINT_PROBE_US;
   endpoint->probe.text.data = message->str;
   endpoint->probe.text.len = message->len;
@@ -380,7 +393,7 @@
 {
   endpoint->gone = TRUE;
   endpoint_close_links (endpoint, NULL);
-  tou_relay_close_all (endpoint, NULL);
+  tou_relay_end (endpoint);
   g_ptr_array_remove_fast (endpoint->group->endpoints, endpoint);
   g_ptr_array_unref (endpoint->links);
   g_free (endpoint);
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -1,6 +1,7 @@
 #include "link-private.h"
 
 #include "dispatch.h"
+#include "relay.h"
 #include "stream.h"
 #include "values.h"
 
@@ -215,6 +216,8 @@
     link_put_values (link, task->values, out);
   if (task->prepared != NULL)
     link_put_prepare (link, task->prepared, out);
+  if (link->via.len > 0 && !link->in_txn)
+    tou_relay_put_rank (out, task->rank, task->deadline_us);
   if (task->begin && !link->in_txn)
     {
       TOU_COUNT (link->endpoint->proxy, BEGINS);
@@ -317,6 +320,7 @@
     {
       link->state = LINK_READY;
       link->since_us = tou_clock_us ();
+      tou_endpoint_heard (endpoint, link->since_us);
       tou_dispatch_group (endpoint->group);
       return;
     }
@@ -407,7 +411,9 @@
       tou_link_close (link, "closed by the other side");
       return;
     }
-  tou_endpoint_heard (link->endpoint, tou_clock_us ());
+  /* The refusal of a gateway is no sign of the database. */
+  if (link->via.len == 0 || link->state == LINK_READY)
+    tou_endpoint_heard (link->endpoint, tou_clock_us ());
   g_string_append_len (link->in, buf->base, n);
   /* Freeing is deferred to the loop, so a closed link can be checked here. */
   while (!link->closed
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -53,11 +53,22 @@
   const TouPrepared *prepared;
   TouSlice arguments;  /**< of the prepared statement */
   gboolean may_commit; /**< a write outside a transaction, or a commit */
+  TouRank rank;
   guint64 deadline_us;
   guint64 sent_us;  /**< set by the link; 0: the statement is not sent */
   gboolean relayed; /**< for another node */
 };
 
+/** A gateway that failed for one database. */
+typedef struct
+{
+  TouName node;
+  guint64 until_us;
+} TouAvoidedGateway;
+
+/** Gateways that an endpoint remembers as failed: those of a large group. */
+#define TOU_MAX_AVOIDED 4
+
 /** A database. */
 struct TouEndpoint
 {
@@ -69,12 +80,13 @@
   guint64 leaving_since_us; /**< draining or missing; 0: neither */
   GPtrArray *links;         /**< of TouLink */
   guint n_busy;             /**< links with a task */
-  guint n_relayed;          /**< of these, for other nodes */
   GQueue relays;            /**< of TouRelay, sessions of other nodes */
-  GQueue relays_waiting;    /**< of TouRelay, statements without a link */
+  TouQueue *relay_queue;    /**< their waiting statements; NULL: never any */
   /** Holder of connections that new links go through; empty: none. */
   TouName gateway;
   struct sockaddr_in gateway_address;
+  TouAvoidedGateway avoided[TOU_MAX_AVOIDED];
+  guint n_avoided; /**< so far; the next one takes the oldest's place */
   guint n_holders; /**< nodes that hold connections; 0: all */
   TouWindow window;
   guint64 latency_us;    /**< moving average of a statement's answer */
@@ -108,8 +120,9 @@
 /** TRUE if new work may be sent to it. */
 gboolean tou_endpoint_is_usable (const TouEndpoint *endpoint);
 
-/** Links with a task of this node. */
-guint tou_endpoint_own_busy (const TouEndpoint *endpoint);
+/** TRUE if another statement may be sent; urgent ones get extra room. */
+gboolean tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
+                                guint64 now_us);
 
 /** Most links that this node opens to it. */
 guint tou_endpoint_link_limit (const TouEndpoint *endpoint);
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -606,14 +606,11 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Peer *peer = value;
-      const guint64 *until_us
-          = g_hash_table_lookup (proxy->avoided, &peer->node);
 
       node.node = peer->node;
       node.failure_domain = peer->failure_domain;
       node.alive = now_us < peer->heard_us + PEERS_ALIVE_US;
       node.lost = now_us >= peer->heard_us + PEERS_LOST_US;
-      node.avoided = until_us != NULL && now_us < *until_us;
       g_array_append_val (nodes, node);
     }
   return nodes;
--- a/src/session/placement.c
+++ b/src/session/placement.c
@@ -6,9 +6,11 @@
 
 /* Changes of the nodes that are alive are noticed within this time. */
 #define PLACEMENT_INTERVAL_US (500 * TOU_US_PER_MS)
-/* At the first start of all nodes their registrations arrive for this long:
-   the number of nodes decides who holds connections. */
-#define PLACEMENT_SETTLE_US (1500 * TOU_US_PER_MS)
+/* At the first start of all nodes, links wait until no further node has been
+   registered for the first time, but at most for the second: the number of
+   nodes decides who holds connections. Slow VMs take 4 s to start. */
+#define PLACEMENT_SETTLE_US (1200 * TOU_US_PER_MS)
+#define PLACEMENT_SETTLE_MAX_US (6 * TOU_US_PER_S)
 
 static void
 placement_apply (TouEndpoint *endpoint, const TouGatewayNode *gateway,
@@ -30,6 +32,22 @@
     tou_peers_node_address (&endpoint->gateway_address, peers, name);
 }
 
+static void
+placement_mark_avoided (GArray *nodes, const TouEndpoint *endpoint,
+                        guint64 now_us)
+{
+  for (guint i = 0; i < nodes->len; i++)
+    {
+      TouGatewayNode *node = &g_array_index (nodes, TouGatewayNode, i);
+
+      node->avoided = FALSE;
+      for (guint j = 0; j < TOU_MAX_AVOIDED; j++)
+        if (now_us < endpoint->avoided[j].until_us
+            && tou_name_equal (&endpoint->avoided[j].node, &node->node))
+          node->avoided = TRUE;
+    }
+}
+
 /* Callers of statements through a lost node are answered at once, and its own
    transactions end. */
 static void
@@ -46,6 +64,19 @@
     }
 }
 
+static void
+placement_settle (TouProxy *proxy, guint n_nodes, guint64 now_us)
+{
+  if (!proxy->site.first_start || n_nodes == proxy->placed_nodes)
+    return;
+  if (proxy->placed_us == 0)
+    proxy->settle_end_us = now_us + PLACEMENT_SETTLE_MAX_US;
+  proxy->placed_nodes = n_nodes;
+  if (now_us < proxy->settle_end_us)
+    proxy->settled_us
+        = MIN (now_us + PLACEMENT_SETTLE_US, proxy->settle_end_us);
+}
+
 void
 tou_placement_tick (TouProxy *proxy, const TouPeers *peers, guint64 now_us)
 {
@@ -58,11 +89,9 @@
           && !proxy->place_now))
     return;
   proxy->place_now = FALSE;
-  if (proxy->placed_us == 0)
-    proxy->settled_us
-        = now_us + (proxy->site.first_start ? PLACEMENT_SETTLE_US : 0);
-  proxy->placed_us = now_us;
   nodes = tou_peers_nodes (peers, now_us);
+  placement_settle (proxy, nodes->len, now_us);
+  proxy->placed_us = now_us;
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -73,7 +102,10 @@
           endpoint->group->limits.connection_limit, nodes->len);
       if (endpoint->n_holders > 0)
         {
-          guint chosen = tou_gateway_choose (
+          guint chosen;
+
+          placement_mark_avoided (nodes, endpoint, now_us);
+          chosen = tou_gateway_choose (
               (const TouGatewayNode *)(void *)nodes->data, nodes->len, 0,
               &endpoint->info.id, &endpoint->info.failure_domain,
               endpoint->n_holders);
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -59,7 +59,7 @@
 #undef PROXY_COUNTER
 };
 
-static const guint proxy_floors[TOU_RANK_COUNT]
+const guint tou_rank_floors[TOU_RANK_COUNT]
     = { 0, PROXY_REVIEW_FLOOR, PROXY_STATUS_FLOOR };
 
 TouGroup *
@@ -250,8 +250,8 @@
       reads += endpoint->info.slots;
       writes = MAX (writes, endpoint->info.slots);
     }
-  tou_queue_configure (group->writes, writes, proxy_floors);
-  tou_queue_configure (group->reads, MAX (reads, 1), proxy_floors);
+  tou_queue_configure (group->writes, writes, tou_rank_floors);
+  tou_queue_configure (group->reads, MAX (reads, 1), tou_rank_floors);
 }
 
 /* The strictest objective of a group's routes decides. */
@@ -367,8 +367,6 @@
   proxy->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                          NULL, group_destroy);
   proxy->endpoints = g_hash_table_new (tou_name_hash, tou_name_equal_func);
-  proxy->avoided = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
-                                          g_free, g_free);
   g_queue_init (&proxy->clients);
   *out = proxy;
   return TOU_OK;
@@ -388,7 +386,6 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     tou_endpoint_destroy (value);
   g_hash_table_destroy (proxy->endpoints);
-  g_hash_table_destroy (proxy->avoided);
   g_hash_table_destroy (proxy->groups);
   tou_routing_destroy (proxy->routing);
   tou_prepared_shapes_destroy ();
@@ -605,14 +602,13 @@
 proxy_dump_endpoint (const TouEndpoint *endpoint)
 {
   return json_pack (
-      "{s:s,s:s,s:s,s:i,s:b,s:b,s:b,s:i,s:i,s:i,s:I,s:I,s:I}", "id",
+      "{s:s,s:s,s:s,s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id",
       endpoint->info.id.data, "address", endpoint->info.address.data, "gateway",
       endpoint->gateway.data, "relays", (int)endpoint->relays.length,
       "draining", endpoint->info.draining, "gone", endpoint->gone, "silent",
       endpoint->silent_us != 0, "links", (int)endpoint->links->len, "busy",
-      (int)endpoint->n_busy, "relayed", (int)endpoint->n_relayed, "latency_us",
-      (json_int_t)endpoint->latency_us, "term",
-      (json_int_t)endpoint->known.term, "position",
+      (int)endpoint->n_busy, "latency_us", (json_int_t)endpoint->latency_us,
+      "term", (json_int_t)endpoint->known.term, "position",
       (json_int_t)endpoint->known.position);
 }
 
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -79,9 +79,10 @@
   GQueue clients;        /**< of TouClient */
   uv_tcp_t listener;
   uv_tcp_t relay_listener; /**< sessions of other nodes */
-  GHashTable *avoided;     /**< node to the time (us) until which it is */
   gboolean place_now;      /**< choose gateways anew */
   guint64 placed_us;       /**< when they were chosen */
+  guint placed_nodes;      /**< their number then */
+  guint64 settle_end_us;   /**< first start: links wait no longer */
   guint64 settled_us;      /**< all nodes are registered; no links before */
   TouName duty_holder;     /**< holder of the duty; empty: none is known */
   guint n_nodes;           /**< registered nodes, this one included */
@@ -119,6 +120,9 @@
   guint64 no_primary_us;   /**< since when none may be used; 0: one may */
 };
 
+/** Shares of the slots that the less urgent ranks keep, in percent. */
+extern const guint tou_rank_floors[TOU_RANK_COUNT];
+
 /** Finds or creates a group. */
 TouGroup *tou_group_get (TouProxy *proxy, const TouName *name);
 
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -6,30 +6,39 @@
 
 #include "wire.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Longest statement on behalf of another node, which gives up by itself at its
    caller's time limit: the longest that is known, 10 s, and a margin. */
 #define RELAY_STATEMENT_US (12 * TOU_US_PER_S)
-/* Longest wait for a link; the other node then tries another database. */
-#define RELAY_WAIT_US (500 * TOU_US_PER_MS)
+/* Transactions that another node should have ended get this much longer. */
+#define RELAY_IDLE_MARGIN_US (500 * TOU_US_PER_MS)
+/* Longest wait for a connection while transactions hold all of them; another
+   database may have one. */
+#define RELAY_LINK_WAIT_US (500 * TOU_US_PER_MS)
+/* Waiting statements of one rank: twice as many as a database queues itself. */
+#define RELAY_QUEUE_LIMIT 64
 /* Connections of other nodes that wait to be accepted. */
 #define RELAY_BACKLOG 512
 
+/* Word of the line with a statement's rank, and the line's longest length. */
+#define RELAY_RANK_WORD "RANK"
+#define RELAY_RANK_MAX 40
+
 struct TouRelay
 {
   TouProxy *proxy;
   TouName peer;          /* the other node */
   TouEndpoint *endpoint; /* NULL until the session has started */
   GList node;            /* in the endpoint's list */
-  GList waiting;         /* in its list of waiting sessions */
+  TouQueueItem item;     /* in its queue; also rank and deadline */
   uv_tcp_t tcp;
   GString *in;
   gboolean parsing;
   gboolean closing; /* the connection is being freed */
   gboolean gone;    /* the other node left; ends with its statement */
   gboolean busy;    /* a statement waits or runs */
-  gboolean is_waiting;
   guint64 since_us; /* when its last statement was received or answered */
   TouSqlValues values;
   GHashTable *prepared;
@@ -62,14 +71,6 @@
   g_free (relay);
 }
 
-static void
-relay_stop_waiting (TouRelay *relay)
-{
-  if (relay->is_waiting)
-    g_queue_unlink (&relay->endpoint->relays_waiting, &relay->waiting);
-  relay->is_waiting = FALSE;
-}
-
 static void
 relay_drop_link (TouRelay *relay)
 {
@@ -88,10 +89,11 @@
     return;
   relay->gone = TRUE;
   uv_read_stop ((uv_stream_t *)&relay->tcp);
-  if (relay->busy && !relay->is_waiting)
+  if (relay->busy && !relay->item.queued)
     return;
   relay->closing = TRUE;
-  relay_stop_waiting (relay);
+  if (relay->item.queued)
+    tou_queue_remove (relay->endpoint->relay_queue, &relay->item);
   relay_drop_link (relay);
   if (relay->endpoint != NULL)
     g_queue_unlink (&relay->endpoint->relays, &relay->node);
@@ -165,6 +167,29 @@
     }
 }
 
+/* Lets the statement wait for a link and for room at the database. */
+static void
+relay_wait (TouRelay *relay)
+{
+  guint64 retry_us = 0;
+
+  if (tou_queue_push (relay->endpoint->relay_queue, &relay->item,
+                      tou_clock_us (), &retry_us)
+      != TOU_OK)
+    relay_refuse (relay, "queue is too long");
+}
+
+static void
+relay_measure (TouRelay *relay, guint64 now_us)
+{
+  TouEndpoint *endpoint = relay->endpoint;
+  guint64 taken_us = now_us - relay->task.sent_us;
+
+  tou_window_answered (&endpoint->window, taken_us, endpoint->group->target_us,
+                       endpoint->info.slots, now_us);
+  tou_queue_measure (endpoint->relay_queue, relay->item.rank, taken_us);
+}
+
 static void
 relay_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
 {
@@ -172,13 +197,24 @@
       = (TouRelay *)((char *)task - G_STRUCT_OFFSET (TouRelay, task));
   TouEndpoint *endpoint = relay->endpoint;
   gboolean in_txn = relay->link != NULL;
+  guint64 now_us = tou_clock_us ();
+  gboolean busy = result->outcome == TOU_TASK_ANSWERED && !result->complete
+                  && result->error == TOU_SQL_E_BUSY;
 
-  endpoint->n_relayed--;
   relay->busy = FALSE;
-  relay->since_us = tou_clock_us ();
+  relay->since_us = now_us;
   if (link == NULL)
     relay->link = NULL;
-  if (result->outcome == TOU_TASK_ANSWERED)
+  if (busy)
+    tou_window_refused (&endpoint->window, now_us);
+  else if (result->outcome == TOU_TASK_ANSWERED)
+    relay_measure (relay, now_us);
+  if (busy && !in_txn && !relay->gone)
+    {
+      relay->busy = TRUE;
+      relay_wait (relay);
+    }
+  else if (result->outcome == TOU_TASK_ANSWERED)
     relay_answered (relay, link, result);
   else if (result->outcome == TOU_TASK_NOT_RUN && !in_txn)
     relay_refuse (relay, "not taken by the database");
@@ -196,25 +232,39 @@
 {
   TOU_COUNT (relay->proxy, RELAYED);
   relay->task.deadline_us = tou_clock_us () + RELAY_STATEMENT_US;
-  relay->endpoint->n_relayed++;
   tou_link_run (link, &relay->task);
 }
 
+static TouRelay *
+relay_of_item (TouQueueItem *item)
+{
+  return (TouRelay *)((char *)item - G_STRUCT_OFFSET (TouRelay, item));
+}
+
 void
 tou_relay_dispatch (TouEndpoint *endpoint, guint64 now_us)
 {
-  while (endpoint->relays_waiting.head != NULL)
+  TouQueue *queue = endpoint->relay_queue;
+
+  while (queue != NULL && tou_queue_length (queue) > 0)
     {
-      TouRelay *relay = endpoint->relays_waiting.head->data;
-      TouLink *link = tou_endpoint_idle_link (endpoint, &relay->task);
+      gboolean urgent = !tou_endpoint_has_room (endpoint, FALSE, now_us);
+      TouQueueItem *item;
+      TouRelay *relay;
 
-      if (link == NULL)
+      if (urgent && !tou_endpoint_has_room (endpoint, TRUE, now_us))
+        return;
+      if (tou_endpoint_idle_link (endpoint, NULL) == NULL)
         {
           tou_endpoint_want_link (endpoint, now_us);
           return;
         }
-      relay_stop_waiting (relay);
-      relay_run (relay, link);
+      item = urgent ? tou_queue_pop_rank (queue, TOU_RANK_URGENT)
+                    : tou_queue_pop (queue, TRUE);
+      if (item == NULL)
+        return;
+      relay = relay_of_item (item);
+      relay_run (relay, tou_endpoint_idle_link (endpoint, &relay->task));
     }
 }
 
@@ -232,11 +282,52 @@
 
       next = node->next;
       if (relay->link != NULL && !relay->busy
-          && now_us >= relay->since_us + routing->txn_idle_us + RELAY_WAIT_US)
+          && now_us >= relay->since_us + routing->txn_idle_us
+                           + RELAY_IDLE_MARGIN_US)
+        relay_close (relay);
+    }
+}
+
+/* The other nodes learn from the refusal of their next session that the
+   database does not answer. */
+static void
+relay_close_idle (TouEndpoint *endpoint)
+{
+  GList *next;
+
+  for (GList *node = endpoint->relays.head; node != NULL; node = next)
+    {
+      TouRelay *relay = node->data;
+
+      next = node->next;
+      if (!relay->busy && relay->link == NULL)
         relay_close (relay);
     }
 }
 
+static void
+relay_check_links (TouEndpoint *endpoint, guint64 now_us)
+{
+  GList *next;
+
+  if (tou_queue_length (endpoint->relay_queue) == 0
+      || endpoint->links->len < tou_endpoint_link_limit (endpoint)
+      || endpoint->n_busy > 0
+      || tou_endpoint_idle_link (endpoint, NULL) != NULL)
+    return;
+  for (GList *node = endpoint->relays.head; node != NULL; node = next)
+    {
+      TouRelay *relay = node->data;
+
+      next = node->next;
+      if (!relay->item.queued || now_us < relay->since_us + RELAY_LINK_WAIT_US)
+        continue;
+      tou_queue_remove (endpoint->relay_queue, &relay->item);
+      relay_refuse (relay, "transactions hold all connections");
+      relay_parse (relay);
+    }
+}
+
 void
 tou_relay_tick (TouEndpoint *endpoint, guint64 now_us)
 {
@@ -244,21 +335,28 @@
                        : tou_endpoint_has_failed (endpoint)
                            ? "database does not answer"
                            : NULL;
+  TouQueueItem *item;
 
+  if (endpoint->relay_queue == NULL)
+    return;
+  if (reason != NULL)
+    relay_close_idle (endpoint);
   relay_end_idle_txns (endpoint, now_us);
-  while (endpoint->relays_waiting.head != NULL)
+  relay_check_links (endpoint, now_us);
+  while ((item = reason != NULL
+                     ? tou_queue_pop_any (endpoint->relay_queue)
+                     : tou_queue_pop_expired (endpoint->relay_queue, now_us))
+         != NULL)
     {
-      TouRelay *relay = endpoint->relays_waiting.head->data;
+      TouRelay *relay = relay_of_item (item);
 
-      if (reason == NULL && now_us < relay->since_us + RELAY_WAIT_US)
-        return;
-      relay_stop_waiting (relay);
-      relay_refuse (relay, reason != NULL ? reason : "no connection is free");
+      relay_refuse (relay,
+                    reason != NULL ? reason : "waited until its time-out");
       relay_parse (relay);
     }
 }
 
-/* Gives the statement to the transaction's link, or to the next idle one. */
+/* Gives the statement to the transaction's link, or lets it wait for one. */
 static void
 relay_queue (TouRelay *relay, const TouSqlStatement *statement, TouSlice text,
              TouLogPos after)
@@ -280,14 +378,13 @@
       task->arguments = statement->as.execute.arguments;
     }
   relay->busy = TRUE;
+  relay->since_us = tou_clock_us ();
   if (relay->link != NULL)
     {
       relay_run (relay, relay->link);
       return;
     }
-  relay->is_waiting = TRUE;
-  relay->since_us = tou_clock_us ();
-  g_queue_push_tail_link (&relay->endpoint->relays_waiting, &relay->waiting);
+  relay_wait (relay);
   tou_dispatch_group (relay->endpoint->group);
 }
 
@@ -355,6 +452,17 @@
   relay_queue (relay, &statement, text, after);
 }
 
+/* The holders share the database's slots. */
+static void
+relay_configure_queue (TouEndpoint *endpoint)
+{
+  guint slots = MAX (endpoint->info.slots / MAX (endpoint->n_holders, 1), 1);
+
+  if (endpoint->relay_queue == NULL)
+    tou_queue_create (&endpoint->relay_queue, RELAY_QUEUE_LIMIT, slots);
+  tou_queue_configure (endpoint->relay_queue, slots, tou_rank_floors);
+}
+
 static void
 relay_on_startup (TouRelay *relay, const TouSqlCallerMessage *message)
 {
@@ -380,17 +488,53 @@
   tou_name_set (&relay->peer, message->user.data, message->user.len);
   relay->endpoint = endpoint;
   g_queue_push_tail_link (&endpoint->relays, &relay->node);
+  relay_configure_queue (endpoint);
   TOU_COUNT (relay->proxy, RELAY_SESSIONS);
   out = g_string_new (NULL);
   plat_wire_put_ready (out, TOU_SQL_STATE_IDLE, (TouLogPos){ 0 });
   relay_send (relay, out);
 }
 
+/* The line before a statement that other nodes send and databases don't know:
+   its rank, and the ms until its time limit. @return FALSE if it is none */
+static gboolean
+relay_take_rank (TouRelay *relay, TouSlice line)
+{
+  char text[RELAY_RANK_MAX + 1] = "";
+  unsigned int rank;
+  guint64 left_ms;
+
+  if (line.len > RELAY_RANK_MAX)
+    return FALSE;
+  memcpy (text, line.data, line.len);
+  if (sscanf (text, RELAY_RANK_WORD " %u %" G_GUINT64_FORMAT, &rank, &left_ms)
+          != 2
+      || rank >= TOU_RANK_COUNT)
+    return FALSE;
+  relay->item.rank = (TouRank)rank;
+  relay->item.deadline_us
+      = tou_clock_us ()
+        + MIN (left_ms * TOU_US_PER_MS, (guint64)RELAY_STATEMENT_US);
+  return TRUE;
+}
+
+void
+tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us)
+{
+  guint64 now_us = tou_clock_us ();
+
+  g_string_append_printf (
+      out, RELAY_RANK_WORD " %u %" G_GUINT64_FORMAT "\r\n", (guint)rank,
+      (deadline_us - MIN (now_us, deadline_us)) / TOU_US_PER_MS);
+}
+
 static void
 relay_on_message (TouRelay *relay, TouSlice line)
 {
   TouSqlCallerMessage message;
 
+  if (relay_take_rank (relay, line))
+    return;
   plat_wire_caller_message (&message, line);
   if (message.kind == TOU_SQL_CALLER_STARTUP && relay->endpoint == NULL)
     relay_on_startup (relay, &message);
@@ -459,7 +603,6 @@
   relay->in = g_string_new (NULL);
   relay->text = g_string_new (NULL);
   relay->node.data = relay;
-  relay->waiting.data = relay;
   relay->pin.lost = relay_on_link_lost;
   relay->pin.relayed = TRUE;
   relay->prepared = tou_prepared_table ();
@@ -490,6 +633,13 @@
     }
 }
 
+void
+tou_relay_end (TouEndpoint *endpoint)
+{
+  tou_relay_close_all (endpoint, NULL);
+  tou_queue_destroy (endpoint->relay_queue);
+}
+
 int
 tou_relay_listen (TouProxy *proxy)
 {
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -17,6 +17,9 @@
 
 typedef struct TouRelay TouRelay;
 
+/** Appends what a gateway must know of the next statement. */
+void tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us);
+
 /** Accepts other nodes on the address for traffic between nodes. */
 int tou_relay_listen (TouProxy *proxy);
 
@@ -29,7 +32,10 @@
  */
 void tou_relay_close_all (TouEndpoint *endpoint, const TouName *peer);
 
-/** Refuses statements that wait in vain for a link. */
+/** Ends the sessions of a database that is withdrawn. */
+void tou_relay_end (TouEndpoint *endpoint);
+
+/** Refuses statements that have waited in vain. */
 void tou_relay_tick (TouEndpoint *endpoint, guint64 now_us);
 
 G_END_DECLS
