Let the nodes with connections say that a primary does not answer

Every node also read the records from the store for proofs, as heartbeats that are sent at the same moment are answered an interval later.

Change: only nodes with connections of their own to a primary count when half of them must miss it. Heartbeats get a jitter. After a watch with changes a node pauses by 8 ms for each node; a watch lasts two thirds of a configuration's bound.

Test: session/handover-holders, which fails without the change.

--- a/src/session/control-duty.c
+++ b/src/session/control-duty.c
@@ -53,7 +53,9 @@
   out->record_us = state->adopted_us;
   out->n_nodes = control->proxy->n_nodes;
   out->n_reporting = 1 + tou_peers_reporting (control->peers, now_us);
-  out->n_suspecting = (primary != NULL && tou_endpoint_has_failed (primary))
+  if (primary != NULL)
+    out->n_observing = MIN (primary->n_holders, out->n_reporting);
+  out->n_suspecting = (primary != NULL && tou_endpoint_is_suspect (primary))
                       + tou_peers_suspecting (control->peers, group, now_us);
   out->n_acknowledged
       = tou_group_is_quiet (group, now_us)
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -8,12 +8,15 @@
 
 #define CONTROL_NODE_PREFIX "tou/node/"
 
-/* A watch without changes returns after this part of the time in which a
+/* A watch without changes returns after two thirds of the time in which a
    configuration must be in force; the next one notices a silent connection. */
-#define CONTROL_WATCH_SHARE 2
-/* Pause after a watch that returned changes: at a start of all nodes each of
-   them would wake all others. */
-#define CONTROL_WATCH_PAUSE_US (150 * TOU_US_PER_MS)
+#define CONTROL_WATCH_PARTS 2
+#define CONTROL_WATCH_OF 3
+/* Pause after a watch that returned changes, for each node: at a start of all
+   nodes each of them wakes all others, which then make 125 calls a second. The
+   longest pause is a part of the time for a configuration. */
+#define CONTROL_WATCH_PAUSE_US (8 * TOU_US_PER_MS)
+#define CONTROL_WATCH_PAUSE_SHARE 5
 /* Pause after a call that failed; outages last seconds. */
 #define CONTROL_RETRY_US (200 * TOU_US_PER_MS)
 /* A node that has just started can serve nothing before it has read the
@@ -348,6 +351,15 @@
   plat_store_list (control->store, "", after, control_on_list, control);
 }
 
+static guint64
+control_watch_pause_us (const TouControl *control)
+{
+  const TouProxy *proxy = control->proxy;
+
+  return MIN ((guint64)proxy->n_nodes * CONTROL_WATCH_PAUSE_US,
+              proxy->site.config_apply_us / CONTROL_WATCH_PAUSE_SHARE);
+}
+
 static void
 control_on_watch (gpointer user_data, const PlatStoreReply *reply)
 {
@@ -363,7 +375,7 @@
                        &g_array_index (reply->items, PlatStoreItem, i));
       control->revision = MAX (control->revision, reply->revision);
       if (reply->items->len > 0)
-        control->retry_us = tou_clock_us () + CONTROL_WATCH_PAUSE_US;
+        control->retry_us = tou_clock_us () + control_watch_pause_us (control);
       break;
     case PLAT_STORE_COMPACTED:
       control->must_list = TRUE;
@@ -394,7 +406,8 @@
     }
   control->watching = TRUE;
   plat_store_watch (control->store, "", control->revision,
-                    control->proxy->site.config_apply_us / CONTROL_WATCH_SHARE,
+                    control->proxy->site.config_apply_us * CONTROL_WATCH_PARTS
+                        / CONTROL_WATCH_OF,
                     control_on_watch, control);
 }
 
@@ -477,6 +490,7 @@
       || now_us < oldest_us + tou_peers_interval_us (control->proxy) * 3 / 2
                       + CONTROL_PROVE_US)
     return;
+  TOU_COUNT (control->proxy, PROOF_READS);
   control->proving = TRUE;
   control->proved_us = now_us;
   plat_store_list (control->store, CONTROL_GROUP_PREFIX, NULL, control_on_proof,
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -180,6 +180,12 @@
   return endpoint->silent_us != 0 || endpoint->lost_log;
 }
 
+gboolean
+tou_endpoint_is_suspect (const TouEndpoint *endpoint)
+{
+  return endpoint->gateway.len == 0 && tou_endpoint_has_failed (endpoint);
+}
+
 gboolean
 tou_endpoint_is_usable (const TouEndpoint *endpoint)
 {
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -157,11 +157,14 @@
 static const char *
 handover_reason (const TouHandoverView *view, guint64 now_us)
 {
+  guint n_observing
+      = view->n_observing > 0 ? view->n_observing : view->n_reporting;
+
   if (!view->primary_registered)
     return "primary is gone";
   if (view->primary_draining)
     return "primary is leaving";
-  if (view->n_suspecting > 0 && view->n_suspecting * 2 >= view->n_reporting
+  if (view->n_suspecting > 0 && view->n_suspecting * 2 >= n_observing
       && view->n_reporting * 2 > view->n_nodes
       && now_us >= view->record_us + HANDOVER_HOLD_US)
     return "primary does not answer";
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -33,6 +33,8 @@
   guint64 record_us;    /**< since when the record is known */
   guint n_nodes;        /**< registered nodes, this one included */
   guint n_reporting;    /**< nodes heard from lately, this one included */
+  guint n_observing;    /**< nodes with connections of their own to the primary;
+                             0: all that report */
   guint n_suspecting;   /**< of these, nodes that cannot reach the primary */
   guint n_acknowledged; /**< nodes that no longer use the old primary */
   guint n_endpoints;
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -117,6 +117,12 @@
 /** TRUE if it does not answer, or has lost the log that it led with. */
 gboolean tou_endpoint_has_failed (const TouEndpoint *endpoint);
 
+/**
+ * TRUE if this node's own connections show that it has failed. What a gateway
+ * says of a database counts once, where the gateway reports it.
+ */
+gboolean tou_endpoint_is_suspect (const TouEndpoint *endpoint);
+
 /** TRUE if new work may be sent to it. */
 gboolean tou_endpoint_is_usable (const TouEndpoint *endpoint);
 
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -11,6 +11,9 @@
 /* Among many nodes, of which only a majority must answer, two may be lost. */
 #define PEERS_MANY_NODES 16
 #define PEERS_MANY_INTERVAL_US (400 * TOU_US_PER_MS)
+/* Heartbeats that all nodes send at the same moment cross each other, and are
+   answered an interval later only: up to an eighth of it is added at random. */
+#define PEERS_JITTER_SHARE 8
 /* Their new records need two rounds of heartbeats; a third makes up for losses
    and a fourth for nodes that heard of the record later. */
 #define PEERS_MANY_URGENT_FOR_US (150 * TOU_US_PER_MS)
@@ -61,6 +64,7 @@
   uv_udp_t udp;
   GHashTable *nodes; /* TouName to Peer */
   guint64 next_us;   /* last heartbeats to all */
+  guint64 jitter_us; /* added to the next interval */
   guint64 urgent_us; /* last one to the holder of the duty, or to all */
 };
 
@@ -167,7 +171,7 @@
   pack_name (packer, &group->name);
   msgpack_pack_uint64 (packer, record->revision);
   msgpack_pack_uint64 (packer,
-                       primary != NULL && tou_endpoint_has_failed (primary));
+                       primary != NULL && tou_endpoint_is_suspect (primary));
   msgpack_pack_uint64 (packer, tou_group_is_quiet (group, now_us));
   if (brief)
     return;
@@ -209,7 +213,7 @@
   const TouEndpoint *primary = tou_group_recorded_primary (group);
 
   return same_records && peers_has_record (peer, group)
-         && !(primary != NULL && tou_endpoint_has_failed (primary))
+         && !(primary != NULL && tou_endpoint_is_suspect (primary))
          && !tou_group_is_quiet (group, now_us);
 }
 
@@ -499,6 +503,8 @@
 
   peers->next_us = now_us;
   peers->urgent_us = now_us;
+  peers->jitter_us = (guint64)g_random_int_range (
+      0, (gint32)(tou_peers_interval_us (peers->proxy) / PEERS_JITTER_SHARE));
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     peers_send (peers, value, now_us);
@@ -519,6 +525,8 @@
   PeersUrgency urgency = peers_urgency (proxy, now_us);
   const Peer *holder;
 
+  interval_us += peers->jitter_us;
+
   if (urgency == PEERS_TO_ALL)
     interval_us = PEERS_URGENT_US;
   /* Several records that change together go out together. */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -574,6 +574,7 @@
       view->n_acknowledged = (guint)number (command, 4);
       view->primary_draining = is_word (command, 5, "draining");
       view->primary_registered = !is_word (command, 5, "gone");
+      view->n_observing = (guint)number (command, 6);
     }
   else if (is_word (command, 0, "step"))
     {
