Prefer databases that do not fail statements; refuse at a leaving database

Cause: reads went back to a database that fails part of its statements, as only the time of answers counted. A statement that waited at a gateway could reach a database after the time in which it takes new ones.

Change: a failed or lost statement counts as one of 500 ms when the next database is chosen; without traffic the average falls back to the round trip in about five seconds, so the database is tried again. Gateways refuse waiting statements for a database that is about to leave. Cleanups: one moving average, one loss of the duty, queues configured where endpoints change, adoption times kept once.

Tests: proxy/grey and proxy/relay-leaving fail without the change.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -11,6 +11,9 @@
 /* Attempts of one statement: each database of a group of three, and once more
    after a change of primary. */
 #define CLIENT_MAX_ATTEMPTS 4
+/* A statement that fails counts as one that took this long when the next
+   database is chosen: the strictest objective is of this order. */
+#define CLIENT_FAILURE_COST_US (500 * TOU_US_PER_MS)
 /* Callers give up a session that is not accepted within 2 s. */
 #define CLIENT_STARTUP_WAIT_US (1700 * TOU_US_PER_MS)
 /* Longest request id or reason in a log line, in bytes. */
@@ -305,6 +308,8 @@
     }
   if (result->error == TOU_SQL_E_BUSY)
     tou_window_refused (&endpoint->window, tou_clock_us ());
+  else if (result->error == TOU_SQL_E_FAILED)
+    tou_endpoint_measure (endpoint, CLIENT_FAILURE_COST_US, tou_clock_us ());
   /* Outside a transaction nothing else depends on where it runs. A gateway has
      let it wait for the primary as long as that was of use. */
   if (!(result->error == TOU_SQL_E_BUSY && endpoint->gateway.len > 0
@@ -328,6 +333,7 @@
   TouClientRequest *request = &client->request;
   TouSqlError code = TOU_SQL_E_ABORTED;
 
+  tou_endpoint_measure (endpoint, CLIENT_FAILURE_COST_US, tou_clock_us ());
   if (request->task.may_commit && (!commit || client->wrote))
     code = TOU_SQL_E_IN_DOUBT;
   else if (client->state == TOU_SQL_STATE_IDLE
@@ -360,16 +366,6 @@
                "the database did not take the statement", endpoint);
 }
 
-static void
-endpoint_measure (TouEndpoint *endpoint, guint64 taken_us)
-{
-  /* A new measurement counts for an eighth. */
-  endpoint->latency_us
-      = endpoint->latency_us == 0
-            ? taken_us
-            : endpoint->latency_us - endpoint->latency_us / 8 + taken_us / 8;
-}
-
 static void
 client_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
 {
@@ -385,7 +381,10 @@
     client->link = NULL;
   if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
     {
-      endpoint_measure (endpoint, now_us - task->sent_us);
+      endpoint->latency_us = endpoint->latency_us == 0
+                                 ? now_us - task->sent_us
+                                 : tou_window_average (endpoint->latency_us,
+                                                       now_us - task->sent_us);
       tou_window_answered (&endpoint->window, now_us - task->sent_us,
                            group->target_us, endpoint->info.slots, now_us);
       tou_queue_measure (request->needs_primary ? group->writes : group->reads,
--- a/src/session/control-duty.c
+++ b/src/session/control-duty.c
@@ -46,11 +46,11 @@
                 || now_us < primary->missing_since_us + CONTROL_MISSING_US);
       /* A database that started anew under its id is a replica. */
       if (primary->info.role == TOU_ROLE_REPLICA
-          && now_us >= state->adopted_us + CONTROL_ROLE_US)
+          && now_us >= state->group->adopted_us + CONTROL_ROLE_US)
         out->primary_registered = FALSE;
       out->primary_draining = primary->info.draining;
     }
-  out->record_us = state->adopted_us;
+  out->record_us = state->group->adopted_us;
   out->n_nodes = control->proxy->n_nodes;
   out->n_reporting = 1 + tou_peers_reporting (control->peers, now_us);
   if (primary != NULL)
@@ -208,7 +208,7 @@
         continue;
       if (endpoint->status.role == TOU_ROLE_PRIMARY
           || (endpoint->info.role == TOU_ROLE_PRIMARY
-              && endpoint->status_us < state->adopted_us))
+              && endpoint->status_us < state->group->adopted_us))
         tou_endpoint_step_down (endpoint, record->term, now_us);
     }
 }
@@ -272,13 +272,7 @@
     {
       TouGroup *group = value;
       ControlGroup *state = control_group (control, group);
-      guint64 revision = tou_authority_record (group->authority)->revision;
 
-      if (revision != state->adopted_revision)
-        {
-          state->adopted_revision = revision;
-          state->adopted_us = now_us;
-        }
       if (holds)
         control_run_group (state, now_us);
       else
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -21,8 +21,6 @@
   TouHandover *handover;
   guint64 asked_us;
   guint64 stepped_us;
-  guint64 adopted_us; /* when the record in force was first seen */
-  guint64 adopted_revision;
 } ControlGroup;
 
 struct TouControl
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -227,6 +227,25 @@
   tou_group_adopt (tou_group_get (control->proxy, &name), &record, "store");
 }
 
+static void
+control_lost_duty (TouControl *control, const char *reason)
+{
+  if (!control->leading)
+    return;
+  control->leading = FALSE;
+  tou_evlog (TOU_EVLOG_STATE, "duty_lost",
+             "\"token\":%" G_GUINT64_FORMAT ",\"reason\":\"%s\"",
+             control->token, reason);
+}
+
+/* A holder that could not renew its lease lets another node try first. */
+static void
+control_yield_duty (TouControl *control, const char *reason)
+{
+  control_lost_duty (control, reason);
+  control->elect_us = tou_clock_us () + CONTROL_LEASE_US;
+}
+
 static void
 control_on_leader (TouControl *control, const PlatStoreItem *item)
 {
@@ -235,14 +254,8 @@
                 item->deleted ? 0 : item->value.len);
   if (item->deleted)
     control->leader_free_us = tou_clock_us ();
-  if (control->leading && (item->deleted || item->created > control->token))
-    {
-      control->leading = FALSE;
-      tou_evlog (TOU_EVLOG_STATE, "duty_lost",
-                 "\"token\":%" G_GUINT64_FORMAT
-                 ",\"reason\":\"key taken away\"",
-                 control->token);
-    }
+  if (item->deleted || item->created > control->token)
+    control_lost_duty (control, "key taken away");
 }
 
 static void
@@ -497,18 +510,6 @@
                    control);
 }
 
-static void
-control_lost_duty (TouControl *control, const char *reason)
-{
-  if (!control->leading)
-    return;
-  control->leading = FALSE;
-  control->elect_us = tou_clock_us () + CONTROL_LEASE_US;
-  tou_evlog (TOU_EVLOG_STATE, "duty_lost",
-             "\"token\":%" G_GUINT64_FORMAT ",\"reason\":\"%s\"",
-             control->token, reason);
-}
-
 static void
 control_on_elected (gpointer user_data, const PlatStoreReply *reply)
 {
@@ -590,7 +591,7 @@
         = MAX (control->lease_until_us,
                reply->sent_us + CONTROL_LEASE_US - CONTROL_LEASE_MARGIN_US);
   else if (reply->result == PLAT_STORE_NOT_FOUND)
-    control_lost_duty (control, "lease ended");
+    control_yield_duty (control, "lease ended");
 }
 
 static void
@@ -600,7 +601,7 @@
     return;
   if (now_us >= control->lease_until_us)
     {
-      control_lost_duty (control, "lease not renewed");
+      control_yield_duty (control, "lease not renewed");
       return;
     }
   /* Does not wait for the answer before, which may be lost. */
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -31,6 +31,9 @@
    a silent database itself, and a lost gateway misses its heartbeats; this is
    for a connection that went silent. */
 #define ENDPOINT_GATEWAY_SILENT_US (1500 * TOU_US_PER_MS)
+/* Without a measurement for this long, an average falls by an eighth: a failed
+   statement is made up for after about five seconds. */
+#define ENDPOINT_AGE_US (200 * TOU_US_PER_MS)
 /* A silent endpoint is tried again this often. */
 #define ENDPOINT_RETRY_US (250 * TOU_US_PER_MS)
 
@@ -92,6 +95,31 @@
   proxy->place_now = TRUE;
 }
 
+void
+tou_endpoint_measure (TouEndpoint *endpoint, guint64 taken_us, guint64 now_us)
+{
+  endpoint->latency_us
+      = endpoint->latency_us == 0
+            ? taken_us
+            : tou_window_average (endpoint->latency_us, taken_us);
+  endpoint->measured_us = now_us;
+}
+
+/* An endpoint that was slow or failed gets no reads while others are better, so
+   its average falls by itself, and it is tried again. */
+static void
+endpoint_age_latency (TouEndpoint *endpoint, guint64 now_us)
+{
+  guint64 rtt_us = MIN (endpoint->window.rtt_us, endpoint->latency_us);
+
+  if (now_us < endpoint->measured_us + ENDPOINT_AGE_US)
+    return;
+  /* The round trip stays: it tells near databases from far ones. */
+  endpoint->latency_us
+      = rtt_us + tou_window_average (endpoint->latency_us - rtt_us, 0);
+  endpoint->measured_us = now_us;
+}
+
 gboolean
 tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
                        guint64 now_us)
@@ -217,6 +245,7 @@
   guint64 silent_us = endpoint->gateway.len > 0 ? ENDPOINT_GATEWAY_SILENT_US
                                                 : ENDPOINT_SILENT_US;
 
+  endpoint_age_latency (endpoint, now_us);
   for (guint i = endpoint->links->len; i-- > 0;)
     {
       TouLink *link;
@@ -344,6 +373,7 @@
   if (info->draining)
     endpoint->leaving_since_us = tou_clock_us ();
   g_ptr_array_add (endpoint->group->endpoints, endpoint);
+  tou_group_configure (endpoint->group);
   return endpoint;
 }
 
@@ -377,6 +407,7 @@
         || (info->born_ms != 0 && endpoint->info.born_ms != info->born_ms);
 
   endpoint->info = *info;
+  tou_group_configure (endpoint->group);
   endpoint->gone = FALSE;
   endpoint->missing_since_us = 0;
   if (!info->draining)
@@ -401,6 +432,7 @@
   endpoint_close_links (endpoint, NULL);
   tou_relay_end (endpoint);
   g_ptr_array_remove_fast (endpoint->group->endpoints, endpoint);
+  tou_group_configure (endpoint->group);
   g_ptr_array_unref (endpoint->links);
   g_free (endpoint);
 }
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -90,6 +90,7 @@
   guint n_holders; /**< nodes that hold connections; 0: all */
   TouWindow window;
   guint64 latency_us;    /**< moving average of a statement's answer */
+  guint64 measured_us;   /**< when it was measured or lowered */
   guint64 heard_us;      /**< last bytes received */
   guint64 open_after_us; /**< no new link before */
   gboolean lost_log;     /**< started anew with less than it had */
@@ -123,9 +124,16 @@
  */
 gboolean tou_endpoint_is_suspect (const TouEndpoint *endpoint);
 
+/** TRUE if it is gone, or will leave before a statement ends. */
+gboolean tou_endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us);
+
 /** TRUE if new work may be sent to it. */
 gboolean tou_endpoint_is_usable (const TouEndpoint *endpoint);
 
+/** A statement took @a taken_us, or counts as if it had. */
+void tou_endpoint_measure (TouEndpoint *endpoint, guint64 taken_us,
+                           guint64 now_us);
+
 /** TRUE if another statement may be sent; urgent ones get extra room. */
 gboolean tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
                                 guint64 now_us);
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -109,8 +109,8 @@
   return NULL;
 }
 
-static gboolean
-endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us)
+gboolean
+tou_endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us)
 {
   guint64 drain_us = endpoint->proxy->site.drain_us;
 
@@ -129,7 +129,7 @@
     return NULL;
   primary = tou_group_recorded_primary (group);
   if (primary == NULL || primary->lost_log
-      || endpoint_has_left (primary, now_us))
+      || tou_endpoint_has_left (primary, now_us))
     return NULL;
   return primary;
 }
@@ -237,8 +237,8 @@
   return NULL;
 }
 
-static void
-group_configure (TouGroup *group)
+void
+tou_group_configure (TouGroup *group)
 {
   guint reads = 0;
   guint writes = 1;
@@ -453,7 +453,6 @@
                                              group->proxy->n_nodes, now_us))
                      / TOU_US_PER_MS);
     }
-  group_configure (group);
   tou_dispatch_group (group);
   tou_dispatch_expire (group, now_us);
   refusal = tou_group_refusal (group, now_us);
@@ -517,7 +516,7 @@
 endpoint_check_missing (TouEndpoint *endpoint, guint64 now_us)
 {
   if (!endpoint->gone && endpoint->missing_since_us != 0
-      && endpoint_has_left (endpoint, now_us))
+      && tou_endpoint_has_left (endpoint, now_us))
     {
       endpoint->gone = TRUE;
       tou_evlog (TOU_EVLOG_STATE, "endpoint_gone",
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -127,6 +127,9 @@
 /** Finds or creates a group. */
 TouGroup *tou_group_get (TouProxy *proxy, const TouName *name);
 
+/** Adapts the queues to the slots of the group's endpoints. */
+void tou_group_configure (TouGroup *group);
+
 /** The group's primary if this node may use it at @a now_us, else NULL. */
 TouEndpoint *tou_group_primary (TouGroup *group, guint64 now_us);
 
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -246,7 +246,8 @@
 {
   TouQueue *queue = endpoint->relay_queue;
 
-  while (queue != NULL && tou_queue_length (queue) > 0)
+  while (queue != NULL && tou_queue_length (queue) > 0
+         && !tou_endpoint_has_left (endpoint, now_us))
     {
       gboolean urgent = !tou_endpoint_has_room (endpoint, FALSE, now_us);
       TouQueueItem *item;
@@ -331,10 +332,10 @@
 void
 tou_relay_tick (TouEndpoint *endpoint, guint64 now_us)
 {
-  const char *reason = endpoint->gone ? "database is gone"
-                       : tou_endpoint_has_failed (endpoint)
-                           ? "database does not answer"
-                           : NULL;
+  const char *reason
+      = tou_endpoint_has_left (endpoint, now_us) ? "database is leaving"
+        : tou_endpoint_has_failed (endpoint)     ? "database does not answer"
+                                                 : NULL;
   TouQueueItem *item;
 
   if (endpoint->relay_queue == NULL)
@@ -474,7 +475,7 @@
       && tou_name_set (&id, message->endpoint.data, message->endpoint.len)
              == TOU_OK)
     endpoint = g_hash_table_lookup (relay->proxy->endpoints, &id);
-  if (endpoint == NULL || endpoint->gone
+  if (endpoint == NULL || tou_endpoint_has_left (endpoint, tou_clock_us ())
       || !tou_slice_is (message->database, endpoint->group->name.data))
     {
       relay_reject (relay, TOU_SQL_E_MOVED, "not known at this node");
--- a/src/session/window.c
+++ b/src/session/window.c
@@ -17,6 +17,13 @@
 /* Statements of the most urgent rank that may exceed the window. */
 #define WINDOW_URGENT_EXTRA 2
 
+guint64
+tou_window_average (guint64 average, guint64 sample)
+{
+  return average - (average >> WINDOW_AVERAGE_SHIFT)
+         + (sample >> WINDOW_AVERAGE_SHIFT);
+}
+
 void
 tou_window_init (TouWindow *window, guint slots)
 {
@@ -49,8 +56,7 @@
 {
   guint64 held_us = taken_us - MIN (window->rtt_us, taken_us);
 
-  window->held_us = window->held_us - (window->held_us >> WINDOW_AVERAGE_SHIFT)
-                    + (held_us >> WINDOW_AVERAGE_SHIFT);
+  window->held_us = tou_window_average (window->held_us, held_us);
   if (window->held_us > target_us)
     window_reduce (window, WINDOW_SLOW_FACTOR, now_us);
   else
--- a/src/session/window.h
+++ b/src/session/window.h
@@ -22,6 +22,9 @@
   guint64 reduced_us; /**< when it was reduced last */
 } TouWindow;
 
+/** Moving average in which @a sample counts for an eighth. */
+guint64 tou_window_average (guint64 average, guint64 sample);
+
 /** Starts with room for every slot. */
 void tou_window_init (TouWindow *window, guint slots);
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -237,6 +237,18 @@
   script->holder = NULL;
 }
 
+/* The time in which a leaving database takes statements is over; the node that
+   holds its connections knows, the other one does not yet. */
+static void
+run_holder_leaving (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *held = g_hash_table_lookup (script->holder->endpoints, &id);
+
+  held->info.draining = TRUE;
+  held->leaving_since_us = tou_clock_us ();
+}
+
 /* The nodes agree that the holder does not answer any more. */
 static void
 run_holder_silent (Script *script)
@@ -447,6 +459,8 @@
     run_db (script, words);
   else if (strcmp (words[0], "via") == 0)
     run_via (script, words);
+  else if (strcmp (words[0], "holder-leaving") == 0)
+    run_holder_leaving (script, words);
   else if (strcmp (words[0], "holder-lost") == 0)
     run_holder_lost (script);
   else if (strcmp (words[0], "holder-silent") == 0)
