Hold connections only near the database where three nodes are

Cause: with 166 connections a database had 20 holders, of which seven stood in other regions; statements through them travelled twice.

Test: session/gateways.

--- a/src/session/gateway.c
+++ b/src/session/gateway.c
@@ -90,10 +90,11 @@
 guint
 tou_gateway_choose (const TouGatewayNode *nodes, guint n_nodes, guint self,
                     const TouName *endpoint, const TouName *failure_domain,
-                    guint n_holders)
+                    guint *n_holders)
 {
-  GatewayRank *best = g_new (GatewayRank, n_holders);
+  GatewayRank *best = g_new (GatewayRank, *n_holders);
   guint n_best = 0;
+  guint n_near = 0;
   guint chosen = self;
   guint64 chosen_hash = 0;
   gboolean holds = FALSE;
@@ -106,8 +107,14 @@
         continue;
       rank.near = tou_name_equal (&nodes[i].failure_domain, failure_domain);
       rank.hash = gateway_hash (endpoint, &nodes[i].node);
-      n_best = gateway_insert (best, n_best, n_holders, &rank);
+      n_best = gateway_insert (best, n_best, *n_holders, &rank);
     }
+  while (n_near < n_best && best[n_near].near)
+    n_near++;
+  /* Far holders make statements travel twice. */
+  if (n_near >= GATEWAY_MIN_HOLDERS)
+    n_best = n_near;
+  *n_holders = n_best;
   for (guint i = 0; i < n_best; i++)
     holds = holds || best[i].index == self;
   for (guint i = 0; i < n_best && !holds; i++)
--- a/src/session/gateway.h
+++ b/src/session/gateway.h
@@ -39,11 +39,11 @@
  *
  * @param endpoint the database's id
  * @param failure_domain the database's; nodes there are preferred
- * @param n_holders at least 1
+ * @param n_holders most holders, at least 1; set to their number
  * @return index of a node, that of @a self if it is a holder
  */
 guint tou_gateway_choose (const TouGatewayNode *nodes, guint n_nodes,
                           guint self, const TouName *endpoint,
-                          const TouName *failure_domain, guint n_holders);
+                          const TouName *failure_domain, guint *n_holders);
 
 G_END_DECLS
--- a/src/session/placement.c
+++ b/src/session/placement.c
@@ -108,7 +108,7 @@
           chosen = tou_gateway_choose (
               (const TouGatewayNode *)(void *)nodes->data, nodes->len, 0,
               &endpoint->info.id, &endpoint->info.failure_domain,
-              endpoint->n_holders);
+              &endpoint->n_holders);
 
           if (chosen != 0)
             gateway = &g_array_index (nodes, TouGatewayNode, chosen);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -430,8 +430,12 @@
 
   for (guint i = 0; i < n_nodes; i++)
     if (nodes[i].alive)
-      uses[tou_gateway_choose (nodes, n_nodes, i, &endpoint, &failure_domain,
-                               (guint)number (command, 3))]++;
+      {
+        guint n_holders = (guint)number (command, 3);
+
+        uses[tou_gateway_choose (nodes, n_nodes, i, &endpoint, &failure_domain,
+                                 &n_holders)]++;
+      }
   for (guint i = 0; i < n_nodes; i++)
     if (uses[i] > 0)
       g_string_append_printf (script->out, "%s in %s: %u nodes\n",
