Tell sets of records apart by a digest that is not linear

The digest was a sum of products, so two nodes of which each lacked another group's newer record (105 and 110, 108 and 107) had equal digests and proved records that were not the newest.

Change: each group's revision is mixed before the sum. While nobody holds the duty, many nodes do not send urgent heartbeats to all others.

Test: test-heartbeat, test_digest_tells_records_apart, fails without the change.

--- a/fuzz/fuzz-wire.c
+++ b/fuzz/fuzz-wire.c
@@ -25,11 +25,17 @@
   TouSqlStatement statement;
   TouSqlReply reply;
   TouSqlStatus status;
+  TouSlice text = line;
+  TouLogPos after;
 
   plat_wire_caller_message (&message, line);
   check_inside (message.database, line);
   check_inside (message.id, line);
   check_inside (message.text, line);
+  check_inside (message.user, line);
+  check_inside (message.endpoint, line);
+  if (plat_wire_take_after (&after, &text))
+    check_inside (text, line);
   plat_wire_statement (&statement, line);
   if (statement.kind == TOU_SQL_EXECUTE)
     check_inside (statement.as.execute.arguments, line);
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -34,8 +34,9 @@
 #define PEERS_FIELDS 7
 #define PEERS_RECORD_FIELDS 8
 #define PEERS_GROUP_FIELDS 4
-/* Odd, with its bits spread: distinct revisions give distinct products. */
-#define PEERS_DIGEST_FACTOR G_GUINT64_CONSTANT (0x9e3779b97f4a7c15)
+/* Factors of the 64-bit mixer of splitmix64. */
+#define PEERS_MIX_1 G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9)
+#define PEERS_MIX_2 G_GUINT64_CONSTANT (0x94d049bb133111eb)
 
 /* What a node says of a group. */
 typedef struct
@@ -181,10 +182,19 @@
   pack_name (packer, &record->candidate);
 }
 
+/* Not linear: sums of mixed values differ where sums of revisions agree. */
+static guint64
+peers_mix (guint64 value)
+{
+  value = (value ^ (value >> 30)) * PEERS_MIX_1;
+  value = (value ^ (value >> 27)) * PEERS_MIX_2;
+  return value ^ (value >> 31);
+}
+
 /* Sum over the groups, so that their order does not matter. Nodes with the same
    records need not list them in every heartbeat. 0: nothing to compare. */
-static guint64
-peers_digest (const TouProxy *proxy)
+guint64
+tou_peers_digest (const TouProxy *proxy)
 {
   GHashTableIter iter;
   gpointer value;
@@ -199,8 +209,8 @@
       guint64 revision = tou_authority_record (group->authority)->revision;
 
       if (revision != 0)
-        digest += (revision ^ ((guint64)tou_name_hash (&group->name) << 32))
-                  * PEERS_DIGEST_FACTOR;
+        digest += peers_mix (revision
+                             ^ ((guint64)tou_name_hash (&group->name) << 32));
     }
   return digest;
 }
@@ -224,7 +234,7 @@
             guint64 now_us)
 {
   TouProxy *proxy = peers->proxy;
-  guint64 digest = peers_digest (proxy);
+  guint64 digest = tou_peers_digest (proxy);
   gboolean same_records = digest != 0 && digest == peer->digest;
   GHashTableIter iter;
   gpointer value;
@@ -437,7 +447,7 @@
     if (!peers_on_group (peers, peer, &fields[6].via.array.ptr[i], echo_us,
                          counts))
       return FALSE;
-  if (digest != 0 && digest == peers_digest (peers->proxy))
+  if (digest != 0 && digest == tou_peers_digest (peers->proxy))
     peers_on_same_records (peers, peer, counts ? echo_us : 0);
   return TRUE;
 }
@@ -487,10 +497,11 @@
         return PEERS_TO_ALL;
       if (!tou_authority_record (group->authority)->moving)
         continue;
-      if (!many || proxy->duty_holder.len == 0
-          || tou_name_equal (&proxy->duty_holder, &proxy->site.node))
+      if (!many || tou_name_equal (&proxy->duty_holder, &proxy->site.node))
         return PEERS_TO_ALL;
-      urgency = PEERS_TO_HOLDER;
+      /* While nobody holds the duty, nobody waits. */
+      if (proxy->duty_holder.len > 0)
+        urgency = PEERS_TO_HOLDER;
     }
   return urgency;
 }
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -33,6 +33,12 @@
 /** Time between heartbeats while no primary is changed. */
 guint64 tou_peers_interval_us (const TouProxy *proxy);
 
+/**
+ * Digest of the records that the node knows, equal only for equal records; 0
+ * before the store has been read.
+ */
+guint64 tou_peers_digest (const TouProxy *proxy);
+
 /** Sends heartbeats that are due. */
 void tou_peers_tick (TouPeers *peers, guint64 now_us);
 
--- a/src/session/placement.c
+++ b/src/session/placement.c
@@ -6,9 +6,9 @@
 
 /* Changes of the nodes that are alive are noticed within this time. */
 #define PLACEMENT_INTERVAL_US (500 * TOU_US_PER_MS)
-/* At the first start of all nodes, links wait until no further node has been
-   registered for the first time, but at most for the second: the number of
-   nodes decides who holds connections. Slow VMs take 4 s to start. */
+/* At the first start of all nodes no links are opened while their number, which
+   decides who holds connections, still grows: until it has not changed for the
+   first time, at most for the second. Slow VMs take 4 s to start. */
 #define PLACEMENT_SETTLE_US (1200 * TOU_US_PER_MS)
 #define PLACEMENT_SETTLE_MAX_US (6 * TOU_US_PER_S)
 
@@ -64,6 +64,7 @@
     }
 }
 
+/* Puts off the first links at a first start of all nodes. */
 static void
 placement_settle (TouProxy *proxy, guint n_nodes, guint64 now_us)
 {
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -306,6 +306,7 @@
     }
 }
 
+/* Refuses statements while transactions that do nothing hold all links. */
 static void
 relay_check_links (TouEndpoint *endpoint, guint64 now_us)
 {
--- a/tests/test-heartbeat.c
+++ b/tests/test-heartbeat.c
@@ -233,12 +233,54 @@
   fleet_clear (&fleet);
 }
 
+static void
+adopt_in (TouProxy *proxy, const char *group, guint64 revision)
+{
+  TouName name = tou_name (group);
+  TouGroupRecord record = { 0 };
+
+  record.revision = revision;
+  record.term = 1;
+  record.primary = tou_name ("db1");
+  tou_group_adopt (tou_group_get (proxy, &name), &record, "test");
+}
+
+/* Guards against nodes that prove each other's records though each lacks one:
+   one has the newer record of a group, the other that of another group. */
+static void
+test_digest_tells_records_apart (void **state)
+{
+  uv_loop_t loop;
+  TouSite site = { 0 };
+  TouProxy *proxies[3];
+
+  (void)state;
+  uv_loop_init (&loop);
+  for (guint i = 0; i < G_N_ELEMENTS (proxies); i++)
+    {
+      assert_int_equal (tou_proxy_create (&proxies[i], &loop, &site), TOU_OK);
+      proxies[i]->synced = TRUE;
+    }
+  adopt_in (proxies[0], "g", 105);
+  adopt_in (proxies[0], "h", 110);
+  adopt_in (proxies[1], "g", 108);
+  adopt_in (proxies[1], "h", 107);
+  adopt_in (proxies[2], "h", 110);
+  adopt_in (proxies[2], "g", 105);
+  assert_true (tou_peers_digest (proxies[0]) != tou_peers_digest (proxies[1]));
+  assert_true (tou_peers_digest (proxies[0]) == tou_peers_digest (proxies[2]));
+  for (guint i = 0; i < G_N_ELEMENTS (proxies); i++)
+    tou_proxy_destroy (proxies[i]);
+  uv_loop_close (&loop);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_record_spreads),
           cmocka_unit_test (test_restart_with_earlier_clock),
+          cmocka_unit_test (test_digest_tells_records_apart),
           cmocka_unit_test (test_known_record_is_not_repeated) };
 
   return cmocka_run_group_tests_name ("heartbeat", tests, NULL, NULL);
