Measure answers in one place, also when an average is lowered

Answers in time updated the average by a second copy of its formula that did not note when, so averages of busy databases were lowered every 200 ms as if nothing had been measured.

Conclusion: one function measures; the holder's name is not set from a removed key.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -381,10 +381,7 @@
     client->link = NULL;
   if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
     {
-      endpoint->latency_us = endpoint->latency_us == 0
-                                 ? now_us - task->sent_us
-                                 : tou_window_average (endpoint->latency_us,
-                                                       now_us - task->sent_us);
+      tou_endpoint_measure (endpoint, now_us - task->sent_us, now_us);
       tou_window_answered (&endpoint->window, now_us - task->sent_us,
                            group->target_us, endpoint->info.slots, now_us);
       tou_queue_measure (request->needs_primary ? group->writes : group->reads,
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -250,8 +250,10 @@
 control_on_leader (TouControl *control, const PlatStoreItem *item)
 {
   control->leader_known = !item->deleted;
-  tou_name_set (&control->proxy->duty_holder, item->value.data,
-                item->deleted ? 0 : item->value.len);
+  control->proxy->duty_holder.len = 0;
+  if (!item->deleted)
+    tou_name_set (&control->proxy->duty_holder, item->value.data,
+                  item->value.len);
   if (item->deleted)
     control->leader_free_us = tou_clock_us ();
   if (item->deleted || item->created > control->token)
