Give test servers ports that no connection takes

A free port was found by binding port 0 and closing it, so it lay in the range from which the system serves connections and other binds; another test took it before its server listened.

Change: ports come from below that range, in a block for each test process. Ruled out: the server's own code (it ends with a clear error, as it must); a retry of the server's start, which would hide a port that is really in use.

--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -14,6 +14,13 @@
 
 static pid_t children[TOU_PROCESS_MAX];
 
+/* Ports for servers of a test: below the range that the system takes for
+   connections and for port 0, so that none is taken before its server listens.
+   Each test process has a block, as tests run side by side. */
+#define PORT_FIRST 20000
+#define PORT_BLOCK 64
+#define PORT_BLOCKS 190
+
 static struct sockaddr_in
 loopback (int port)
 {
@@ -24,18 +31,32 @@
   return address;
 }
 
-int
-tou_process_free_port (void)
+static gboolean
+port_is_free (int port)
 {
-  struct sockaddr_in address = loopback (0);
-  socklen_t len = sizeof address;
+  struct sockaddr_in address = loopback (port);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  gboolean is_free
+      = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
 
-  if (bind (fd, (struct sockaddr *)&address, len) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
-    address.sin_port = 0;
   close (fd);
-  return ntohs (address.sin_port);
+  return is_free;
+}
+
+int
+tou_process_free_port (void)
+{
+  static int n_used;
+  int first = PORT_FIRST + getpid () % PORT_BLOCKS * PORT_BLOCK;
+
+  for (int i = 0; i < PORT_BLOCK; i++)
+    {
+      int port = first + n_used++ % PORT_BLOCK;
+
+      if (port_is_free (port))
+        return port;
+    }
+  return 0;
 }
 
 static void
