Let the nodes' own and relayed statements share their code

A gateway walked its sessions three times in each tick of 25 ms, and a node computed the same digest once for each of its peers.

Ruled out: one type for callers' and nodes' sessions (transactions begin late in one and at once in the other); sharing the text of counters with the HTTP product, whose tables have other types (three lines).

--- a/fuzz/fuzz-wire.c
+++ b/fuzz/fuzz-wire.c
@@ -54,13 +54,11 @@
   TouSlice line;
   TouSite site;
   gsize used = 0;
-  gsize len;
 
-  while ((len = plat_wire_line (&line, text + used, size - used)) > 0)
+  while (plat_wire_next_line (&line, text, size, &used))
     {
-      if (len > size - used)
+      if (used > size)
         abort ();
-      used += len;
       decode_line (line);
     }
   plat_document_endpoint (&info, "i-1", &value);
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -22,8 +22,7 @@
 TouClient *
 tou_client_of_item (TouQueueItem *item)
 {
-  return (TouClient *)((char *)item
-                       - G_STRUCT_OFFSET (TouClient, request.item));
+  return TOU_CONTAINER_OF (item, TouClient, request.item);
 }
 
 static void
@@ -143,8 +142,7 @@
 static void
 client_on_link_lost (TouPin *pin)
 {
-  TouClient *client
-      = (TouClient *)((char *)pin - G_STRUCT_OFFSET (TouClient, pin));
+  TouClient *client = TOU_CONTAINER_OF (pin, TouClient, pin);
 
   client->link = NULL;
   client->txn_lost = TRUE;
@@ -369,8 +367,7 @@
 static void
 client_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
 {
-  TouClient *client
-      = (TouClient *)((char *)task - G_STRUCT_OFFSET (TouClient, request.task));
+  TouClient *client = TOU_CONTAINER_OF (task, TouClient, request.task);
   TouEndpoint *endpoint = task->owner;
   TouGroup *group = endpoint->group;
   TouClientRequest *request = &client->request;
@@ -646,19 +643,12 @@
 client_on_query (TouClient *client, const TouSqlCallerMessage *message)
 {
   TouSqlStatement statement;
+  TouSlice text;
 
   client->busy = TRUE;
   TOU_COUNT (client->proxy, STATEMENTS);
-  g_string_truncate (client->text, 0);
-  g_string_append_len (client->text, message->id.data, (gssize)message->id.len);
-  g_string_append_c (client->text, ' ');
-  g_string_append_len (client->text, message->text.data,
-                       (gssize)message->text.len);
-  client->id.data = client->text->str;
-  client->id.len = message->id.len;
-  plat_wire_statement (
-      &statement,
-      (TouSlice){ client->text->str + message->id.len + 1, message->text.len });
+  tou_sql_keep_query (client->text, message, &client->id, &text);
+  plat_wire_statement (&statement, text);
   if (client->state == TOU_SQL_STATE_FAILED)
     client_in_failed_txn (client, &statement);
   else
@@ -746,20 +736,15 @@
 client_parse (TouClient *client)
 {
   gsize used = 0;
-  gsize len;
   TouSlice line;
 
   if (client->parsing)
     return;
   client->parsing = TRUE;
-  while (!client->closing && !client->busy
-         && (len = plat_wire_line (&line, client->in->str + used,
-                                   client->in->len - used))
-                > 0)
-    {
-      used += len;
-      client_on_message (client, line);
-    }
+  while (
+      !client->closing && !client->busy
+      && plat_wire_next_line (&line, client->in->str, client->in->len, &used))
+    client_on_message (client, line);
   g_string_erase (client->in, 0, (gssize)used);
   client->parsing = FALSE;
   if (!client->closing && client->in->len > PLAT_WIRE_MAX_MESSAGE)
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -93,31 +93,34 @@
                 : tou_queue_pop (queue, TRUE);
 }
 
+TouQueueItem *
+tou_dispatch_next (TouQueue *queue, TouEndpoint *endpoint, guint64 now_us)
+{
+  gboolean urgent;
+
+  if (tou_queue_length (queue) == 0)
+    return NULL;
+  urgent = !tou_endpoint_has_room (endpoint, FALSE, now_us);
+  if (urgent && !tou_endpoint_has_room (endpoint, TRUE, now_us))
+    return NULL;
+  if (tou_endpoint_idle_link (endpoint, NULL) == NULL)
+    {
+      tou_endpoint_want_link (endpoint, now_us);
+      return NULL;
+    }
+  return dispatch_pop (queue, urgent);
+}
+
 static void
 dispatch_writes (TouGroup *group, guint64 now_us)
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
+  TouQueueItem *item;
 
   if (primary == NULL || tou_endpoint_has_failed (primary))
     return;
-  while (tou_queue_length (group->writes) > 0)
-    {
-      gboolean urgent = !tou_endpoint_has_room (primary, FALSE, now_us);
-      TouLink *link = tou_endpoint_idle_link (primary, NULL);
-      TouQueueItem *item;
-
-      if (urgent && !tou_endpoint_has_room (primary, TRUE, now_us))
-        return;
-      if (link == NULL)
-        {
-          tou_endpoint_want_link (primary, now_us);
-          return;
-        }
-      item = dispatch_pop (group->writes, urgent);
-      if (item == NULL)
-        return;
-      tou_client_start (tou_client_of_item (item), primary);
-    }
+  while ((item = tou_dispatch_next (group->writes, primary, now_us)) != NULL)
+    tou_client_start (tou_client_of_item (item), primary);
 }
 
 static void
--- a/src/session/dispatch.h
+++ b/src/session/dispatch.h
@@ -11,6 +11,15 @@
 /** Runs queued statements of @a group as far as links allow. */
 void tou_dispatch_group (TouGroup *group);
 
+/**
+ * Takes the next statement of @a queue that @a endpoint has room and an idle
+ * link for; opens a link if it lacks one.
+ *
+ * @return NULL if none can run now
+ */
+TouQueueItem *tou_dispatch_next (TouQueue *queue, TouEndpoint *endpoint,
+                                 guint64 now_us);
+
 /** Refuses statements whose time has passed. */
 void tou_dispatch_expire (TouGroup *group, guint64 now_us);
 
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -31,6 +31,8 @@
    a silent database itself, and a lost gateway misses its heartbeats; this is
    for a connection that went silent. */
 #define ENDPOINT_GATEWAY_SILENT_US (1500 * TOU_US_PER_MS)
+/* A leaving endpoint is no longer used this long before the limit. */
+#define ENDPOINT_LEAVING_MARGIN_US TOU_US_PER_S
 /* Without a measurement for this long, an average falls by an eighth: a failed
    statement is made up for after about five seconds. */
 #define ENDPOINT_AGE_US (200 * TOU_US_PER_MS)
@@ -214,6 +216,17 @@
   return endpoint->gateway.len == 0 && tou_endpoint_has_failed (endpoint);
 }
 
+gboolean
+tou_endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us)
+{
+  guint64 drain_us = endpoint->proxy->site.drain_us;
+
+  return endpoint->gone
+         || (endpoint->leaving_since_us != 0
+             && now_us + ENDPOINT_LEAVING_MARGIN_US
+                    >= endpoint->leaving_since_us + drain_us);
+}
+
 gboolean
 tou_endpoint_is_usable (const TouEndpoint *endpoint)
 {
@@ -297,8 +310,7 @@
 static void
 endpoint_on_probe (TouTask *task, TouLink *link, const TouTaskResult *result)
 {
-  TouEndpoint *endpoint
-      = (TouEndpoint *)((char *)task - G_STRUCT_OFFSET (TouEndpoint, probe));
+  TouEndpoint *endpoint = TOU_CONTAINER_OF (task, TouEndpoint, probe);
   TouSqlStatus status;
 
   (void)link;
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -401,7 +401,6 @@
 {
   TouLink *link = stream->data;
   gsize used = 0;
-  gsize len;
   TouSlice line;
 
   if (n < 0)
@@ -417,13 +416,8 @@
   g_string_append_len (link->in, buf->base, n);
   /* Freeing is deferred to the loop, so a closed link can be checked here. */
   while (!link->closed
-         && (len = plat_wire_line (&line, link->in->str + used,
-                                   link->in->len - used))
-                > 0)
-    {
-      used += len;
-      link_on_message (link, line);
-    }
+         && plat_wire_next_line (&line, link->in->str, link->in->len, &used))
+    link_on_message (link, line);
   g_string_erase (link->in, 0, (gssize)used);
   if (!link->closed && link->in->len > PLAT_WIRE_MAX_MESSAGE)
     tou_link_close (link, "message too long");
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -231,10 +231,9 @@
    acknowledged before, so it says nothing of groups. */
 static void
 peers_pack (msgpack_packer *packer, TouPeers *peers, const Peer *peer,
-            guint64 now_us)
+            guint64 digest, guint64 now_us)
 {
   TouProxy *proxy = peers->proxy;
-  guint64 digest = tou_peers_digest (proxy);
   gboolean same_records = digest != 0 && digest == peer->digest;
   GHashTableIter iter;
   gpointer value;
@@ -258,7 +257,7 @@
 }
 
 static void
-peers_send (TouPeers *peers, const Peer *peer, guint64 now_us)
+peers_send (TouPeers *peers, const Peer *peer, guint64 digest, guint64 now_us)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -266,7 +265,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  peers_pack (&packer, peers, peer, now_us);
+  peers_pack (&packer, peers, peer, digest, now_us);
   buf = uv_buf_init (buffer.data, (unsigned int)buffer.size);
   /* A lost datagram is made up for by the next one. */
   uv_udp_try_send (&peers->udp, &buf, 1,
@@ -509,6 +508,7 @@
 static void
 peers_send_all (TouPeers *peers, guint64 now_us)
 {
+  guint64 digest = tou_peers_digest (peers->proxy);
   GHashTableIter iter;
   gpointer value;
 
@@ -518,7 +518,7 @@
       0, (gint32)(tou_peers_interval_us (peers->proxy) / PEERS_JITTER_SHARE));
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    peers_send (peers, value, now_us);
+    peers_send (peers, value, digest, now_us);
 }
 
 guint64
@@ -553,7 +553,7 @@
   peers->urgent_us = now_us;
   holder = g_hash_table_lookup (peers->nodes, &proxy->duty_holder);
   if (holder != NULL)
-    peers_send (peers, holder, now_us);
+    peers_send (peers, holder, tou_peers_digest (proxy), now_us);
 }
 
 guint
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -28,8 +28,6 @@
 /* The platform sends no new connections after two missed checks, a second
    apart; sessions at rest are closed after that. */
 #define PROXY_CLOSE_IDLE_US (2200 * TOU_US_PER_MS)
-/* A leaving endpoint is no longer used this long before the limit. */
-#define PROXY_LEAVING_MARGIN_US TOU_US_PER_S
 
 /* A database may hold a statement for this part of the strictest objective:
    an operation has several statements and round trips. */
@@ -109,17 +107,6 @@
   return NULL;
 }
 
-gboolean
-tou_endpoint_has_left (const TouEndpoint *endpoint, guint64 now_us)
-{
-  guint64 drain_us = endpoint->proxy->site.drain_us;
-
-  return endpoint->gone
-         || (endpoint->leaving_since_us != 0
-             && now_us + PROXY_LEAVING_MARGIN_US
-                    >= endpoint->leaving_since_us + drain_us);
-}
-
 TouEndpoint *
 tou_group_primary (TouGroup *group, guint64 now_us)
 {
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -27,6 +27,10 @@
 typedef struct TouClient TouClient;
 typedef struct TouTask TouTask;
 
+/** The @a type whose @a member @a pointer points to. */
+#define TOU_CONTAINER_OF(pointer, type, member)                                \
+  ((type *)((char *)(pointer)-G_STRUCT_OFFSET (type, member)))
+
 /** The table of counters: X (NAME, exported name, help). */
 #define TOU_SESSION_COUNTERS(X)                                                \
   X (SESSIONS, "sessions_total", "caller sessions accepted")                   \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -144,7 +144,7 @@
 static void
 relay_on_link_lost (TouPin *pin)
 {
-  TouRelay *relay = (TouRelay *)((char *)pin - G_STRUCT_OFFSET (TouRelay, pin));
+  TouRelay *relay = TOU_CONTAINER_OF (pin, TouRelay, pin);
 
   relay->link = NULL;
   relay_close (relay);
@@ -193,8 +193,7 @@
 static void
 relay_on_result (TouTask *task, TouLink *link, const TouTaskResult *result)
 {
-  TouRelay *relay
-      = (TouRelay *)((char *)task - G_STRUCT_OFFSET (TouRelay, task));
+  TouRelay *relay = TOU_CONTAINER_OF (task, TouRelay, task);
   TouEndpoint *endpoint = relay->endpoint;
   gboolean in_txn = relay->link != NULL;
   guint64 now_us = tou_clock_us ();
@@ -238,96 +237,60 @@
 static TouRelay *
 relay_of_item (TouQueueItem *item)
 {
-  return (TouRelay *)((char *)item - G_STRUCT_OFFSET (TouRelay, item));
+  return TOU_CONTAINER_OF (item, TouRelay, item);
 }
 
 void
 tou_relay_dispatch (TouEndpoint *endpoint, guint64 now_us)
 {
-  TouQueue *queue = endpoint->relay_queue;
+  TouQueueItem *item;
 
-  while (queue != NULL && tou_queue_length (queue) > 0
-         && !tou_endpoint_has_left (endpoint, now_us))
+  if (endpoint->relay_queue == NULL || tou_endpoint_has_left (endpoint, now_us))
+    return;
+  while ((item = tou_dispatch_next (endpoint->relay_queue, endpoint, now_us))
+         != NULL)
     {
-      gboolean urgent = !tou_endpoint_has_room (endpoint, FALSE, now_us);
-      TouQueueItem *item;
-      TouRelay *relay;
+      TouRelay *relay = relay_of_item (item);
 
-      if (urgent && !tou_endpoint_has_room (endpoint, TRUE, now_us))
-        return;
-      if (tou_endpoint_idle_link (endpoint, NULL) == NULL)
-        {
-          tou_endpoint_want_link (endpoint, now_us);
-          return;
-        }
-      item = urgent ? tou_queue_pop_rank (queue, TOU_RANK_URGENT)
-                    : tou_queue_pop (queue, TRUE);
-      if (item == NULL)
-        return;
-      relay = relay_of_item (item);
       relay_run (relay, tou_endpoint_idle_link (endpoint, &relay->task));
     }
 }
 
-/* The other node ends idle transactions itself, unless it cannot. */
-static void
-relay_end_idle_txns (TouEndpoint *endpoint, guint64 now_us)
+/* TRUE while transactions that do nothing hold all links. */
+static gboolean
+relay_links_are_held (const TouEndpoint *endpoint)
 {
-  const TouRouting *routing = endpoint->proxy->routing;
-  GList *next;
-
-  for (GList *node = endpoint->relays.head; node != NULL && routing != NULL;
-       node = next)
-    {
-      TouRelay *relay = node->data;
-
-      next = node->next;
-      if (relay->link != NULL && !relay->busy
-          && now_us >= relay->since_us + routing->txn_idle_us
-                           + RELAY_IDLE_MARGIN_US)
-        relay_close (relay);
-    }
+  return endpoint->links->len >= tou_endpoint_link_limit (endpoint)
+         && endpoint->n_busy == 0
+         && tou_endpoint_idle_link (endpoint, NULL) == NULL;
 }
 
-/* The other nodes learn from the refusal of their next session that the
-   database does not answer. */
+/* @a lost: the database takes no statements; the other nodes learn it from the
+   refusal of their next session. */
 static void
-relay_close_idle (TouEndpoint *endpoint)
+relay_check (TouRelay *relay, gboolean lost, gboolean links_are_held,
+             guint64 now_us)
 {
-  GList *next;
-
-  for (GList *node = endpoint->relays.head; node != NULL; node = next)
-    {
-      TouRelay *relay = node->data;
+  const TouRouting *routing = relay->proxy->routing;
 
-      next = node->next;
-      if (!relay->busy && relay->link == NULL)
-        relay_close (relay);
-    }
-}
-
-/* Refuses statements while transactions that do nothing hold all links. */
-static void
-relay_check_links (TouEndpoint *endpoint, guint64 now_us)
-{
-  GList *next;
-
-  if (tou_queue_length (endpoint->relay_queue) == 0
-      || endpoint->links->len < tou_endpoint_link_limit (endpoint)
-      || endpoint->n_busy > 0
-      || tou_endpoint_idle_link (endpoint, NULL) != NULL)
-    return;
-  for (GList *node = endpoint->relays.head; node != NULL; node = next)
+  if (relay->item.queued)
     {
-      TouRelay *relay = node->data;
-
-      next = node->next;
-      if (!relay->item.queued || now_us < relay->since_us + RELAY_LINK_WAIT_US)
-        continue;
-      tou_queue_remove (endpoint->relay_queue, &relay->item);
+      if (!links_are_held || now_us < relay->since_us + RELAY_LINK_WAIT_US)
+        return;
+      tou_queue_remove (relay->endpoint->relay_queue, &relay->item);
       relay_refuse (relay, "transactions hold all connections");
       relay_parse (relay);
+      return;
     }
+  if (relay->busy)
+    return;
+  /* The other node ends idle transactions itself, unless it cannot. */
+  if (relay->link == NULL
+          ? lost
+          : routing != NULL
+                && now_us >= relay->since_us + routing->txn_idle_us
+                                 + RELAY_IDLE_MARGIN_US)
+    relay_close (relay);
 }
 
 void
@@ -337,14 +300,18 @@
       = tou_endpoint_has_left (endpoint, now_us) ? "database is leaving"
         : tou_endpoint_has_failed (endpoint)     ? "database does not answer"
                                                  : NULL;
+  gboolean links_are_held;
   TouQueueItem *item;
+  GList *next;
 
   if (endpoint->relay_queue == NULL)
     return;
-  if (reason != NULL)
-    relay_close_idle (endpoint);
-  relay_end_idle_txns (endpoint, now_us);
-  relay_check_links (endpoint, now_us);
+  links_are_held = relay_links_are_held (endpoint);
+  for (GList *node = endpoint->relays.head; node != NULL; node = next)
+    {
+      next = node->next;
+      relay_check (node->data, reason != NULL, links_are_held, now_us);
+    }
   while ((item = reason != NULL
                      ? tou_queue_pop_any (endpoint->relay_queue)
                      : tou_queue_pop_expired (endpoint->relay_queue, now_us))
@@ -433,14 +400,7 @@
   TouLogPos after;
   TouSlice text;
 
-  g_string_truncate (relay->text, 0);
-  g_string_append_len (relay->text, message->id.data, (gssize)message->id.len);
-  g_string_append_c (relay->text, ' ');
-  g_string_append_len (relay->text, message->text.data,
-                       (gssize)message->text.len);
-  relay->id = (TouSlice){ relay->text->str, message->id.len };
-  text
-      = (TouSlice){ relay->text->str + message->id.len + 1, message->text.len };
+  tou_sql_keep_query (relay->text, message, &relay->id, &text);
   if (!plat_wire_take_after (&after, &text))
     {
       TOU_COUNT (relay->proxy, MALFORMED);
@@ -554,20 +514,14 @@
 relay_parse (TouRelay *relay)
 {
   gsize used = 0;
-  gsize len;
   TouSlice line;
 
   if (relay->parsing)
     return;
   relay->parsing = TRUE;
   while (!relay->gone && !relay->busy
-         && (len = plat_wire_line (&line, relay->in->str + used,
-                                   relay->in->len - used))
-                > 0)
-    {
-      used += len;
-      relay_on_message (relay, line);
-    }
+         && plat_wire_next_line (&line, relay->in->str, relay->in->len, &used))
+    relay_on_message (relay, line);
   g_string_erase (relay->in, 0, (gssize)used);
   relay->parsing = FALSE;
   if (!relay->gone && relay->in->len > PLAT_WIRE_MAX_MESSAGE)
--- a/src/session/sql.c
+++ b/src/session/sql.c
@@ -18,3 +18,15 @@
   g_hash_table_destroy (routing->groups);
   g_free (routing);
 }
+
+void
+tou_sql_keep_query (GString *store, const TouSqlCallerMessage *message,
+                    TouSlice *id, TouSlice *text)
+{
+  g_string_truncate (store, 0);
+  g_string_append_len (store, message->id.data, (gssize)message->id.len);
+  g_string_append_c (store, ' ');
+  g_string_append_len (store, message->text.data, (gssize)message->text.len);
+  *id = (TouSlice){ store->str, message->id.len };
+  *text = (TouSlice){ store->str + message->id.len + 1, message->text.len };
+}
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -168,6 +168,10 @@
   guint64 txn_idle_us;
 } TouRouting;
 
+/** Copies a QUERY's id and text into @a store and points there. */
+void tou_sql_keep_query (GString *store, const TouSqlCallerMessage *message,
+                         TouSlice *id, TouSlice *text);
+
 void tou_routing_destroy (TouRouting *routing);
 
 /** A database as it describes itself in the registry. */
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -301,7 +301,6 @@
 {
   Connection *connection = stream->data;
   gsize used = 0;
-  gsize len;
   TouSlice line;
 
   if (n < 0)
@@ -315,13 +314,9 @@
     }
   g_string_append_len (connection->in, buf->base, n);
   while (!uv_is_closing ((uv_handle_t *)stream)
-         && (len = plat_wire_line (&line, connection->in->str + used,
-                                   connection->in->len - used))
-                > 0)
-    {
-      used += len;
-      on_line (connection, line);
-    }
+         && plat_wire_next_line (&line, connection->in->str,
+                                 connection->in->len, &used))
+    on_line (connection, line);
   g_string_erase (connection->in, 0, (gssize)used);
 }
 
