Take all test servers' ports from one place

Change: both call tou_process_free_port. test-heartbeat sets up its two nodes in one function and adopts records in one.

--- a/tests/test-daemon.c
+++ b/tests/test-daemon.c
@@ -13,14 +13,13 @@
 #include "descriptors.h"
 #include "peer.h"
 #include "store.h"
+#include "support/process.h"
 
-#include <arpa/inet.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <sys/resource.h>
 #include <sys/signalfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 /* Self-signed for 127.0.0.1 and valid until 2126; used by this test only. */
@@ -139,15 +138,7 @@
 static char *
 free_address (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &len), 0);
-  close (fd);
-  return g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
+  return g_strdup_printf ("127.0.0.1:%d", tou_process_free_port ());
 }
 
 typedef struct
--- a/tests/test-heartbeat.c
+++ b/tests/test-heartbeat.c
@@ -94,14 +94,21 @@
 }
 
 static void
-fleet_adopt (Fleet *fleet, guint node, guint64 revision)
+adopt_in (TouProxy *proxy, const char *group, guint64 revision)
 {
+  TouName name = tou_name (group);
   TouGroupRecord record = { 0 };
 
   record.revision = revision;
   record.term = 1;
   record.primary = tou_name ("db1");
-  tou_group_adopt (fleet_group (fleet, node), &record, "test");
+  tou_group_adopt (tou_group_get (proxy, &name), &record, "test");
+}
+
+static void
+fleet_adopt (Fleet *fleet, guint node, guint64 revision)
+{
+  adopt_in (fleet->proxies[node], "g", revision);
 }
 
 static gboolean
@@ -150,6 +157,17 @@
   uv_timer_start (&fleet->timer, fleet_on_timer, 0, TICK_US / TOU_US_PER_MS);
 }
 
+/* Two nodes that have proved the record 5 to each other. */
+static void
+fleet_start (Fleet *fleet)
+{
+  fleet_init (fleet);
+  fleet_add (fleet);
+  fleet_add (fleet);
+  fleet_adopt (fleet, 0, 5);
+  fleet_wait_valid (fleet, 5);
+}
+
 static void
 fleet_clear (Fleet *fleet)
 {
@@ -169,11 +187,7 @@
   Fleet fleet;
 
   (void)state;
-  fleet_init (&fleet);
-  fleet_add (&fleet);
-  fleet_add (&fleet);
-  fleet_adopt (&fleet, 0, 5);
-  fleet_wait_valid (&fleet, 5);
+  fleet_start (&fleet);
   /* Long enough for heartbeats without the record. */
   fleet_run (&fleet, 2 * TOU_US_PER_S);
   fleet_wait_valid (&fleet, 5);
@@ -193,11 +207,7 @@
   Fleet fleet;
 
   (void)state;
-  fleet_init (&fleet);
-  fleet_add (&fleet);
-  fleet_add (&fleet);
-  fleet_adopt (&fleet, 0, 5);
-  fleet_wait_valid (&fleet, 5);
+  fleet_start (&fleet);
   fleet_restart_earlier (&fleet, 1);
   /* The proofs from before have lapsed by then. */
   fleet_run (&fleet, 2 * TOU_US_PER_S);
@@ -217,11 +227,7 @@
   guint64 messages;
 
   (void)state;
-  fleet_init (&fleet);
-  fleet_add (&fleet);
-  fleet_add (&fleet);
-  fleet_adopt (&fleet, 0, 5);
-  fleet_wait_valid (&fleet, 5);
+  fleet_start (&fleet);
   fleet_run (&fleet, 2 * TOU_US_PER_S);
   bytes = fleet.proxies[0]->counters[TOU_COUNT_PEER_BYTES];
   messages = fleet.proxies[0]->counters[TOU_COUNT_PEER_SENT];
@@ -233,18 +239,6 @@
   fleet_clear (&fleet);
 }
 
-static void
-adopt_in (TouProxy *proxy, const char *group, guint64 revision)
-{
-  TouName name = tou_name (group);
-  TouGroupRecord record = { 0 };
-
-  record.revision = revision;
-  record.term = 1;
-  record.primary = tou_name ("db1");
-  tou_group_adopt (tou_group_get (proxy, &name), &record, "test");
-}
-
 /* Guards against nodes that prove each other's records though each lacks one:
    one has the newer record of a group, the other that of another group. */
 static void
--- a/tests/test-http.c
+++ b/tests/test-http.c
@@ -8,6 +8,7 @@
 
 #include "http-callers.h"
 #include "http-operators.h"
+#include "support/process.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -119,29 +120,14 @@
   return TOU_OK;
 }
 
-/* Returns a port that nobody listens on. */
-static guint
-free_port (void)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  assert_int_equal (getsockname (fd, (struct sockaddr *)&address, &len), 0);
-  close (fd);
-  return ntohs (address.sin_port);
-}
-
 static int
 setup (void **state)
 {
   Fixture *f = g_new0 (Fixture, 1);
   TouEventSink sink = { fake_sink, f };
 
-  f->callers_port = free_port ();
-  f->operators_port = free_port ();
+  f->callers_port = (guint)tou_process_free_port ();
+  f->operators_port = (guint)tou_process_free_port ();
   f->settings = (TouSettings){
     .callers_listen = g_strdup_printf ("127.0.0.1:%u", f->callers_port),
     .operators_listen = g_strdup_printf ("127.0.0.1:%u", f->operators_port),
