--- a/src/session/authority.c
+++ b/src/session/authority.c
@@ -8,10 +8,11 @@
 {
   TouGroupRecord record;
   guint64 store_proof_us;
-  guint64 majority_proof_us; /* cached for majority_n nodes at computed_us */
+  guint64 majority_proof_us; /* cached for majority_n answers at computed_us */
   guint64 computed_us;
   guint majority_n;
-  GHashTable *nodes; /* TouName to guint64, the time of the proof */
+  guint64 earlier_proof_us; /* by voters that have been replaced since */
+  GHashTable *nodes;        /* TouName to guint64, the time of the proof */
 };
 
 int
@@ -42,6 +43,7 @@
   authority->record = *record;
   authority->store_proof_us = 0;
   authority->majority_proof_us = 0;
+  authority->earlier_proof_us = 0;
   g_hash_table_remove_all (authority->nodes);
   return TRUE;
 }
@@ -95,15 +97,13 @@
 }
 
 static guint64
-authority_find_majority (const TouAuthority *authority, guint n_nodes)
+authority_find_majority (const TouAuthority *authority, guint n_required)
 {
-  guint n_required = n_nodes / 2;
   GArray *times;
   GHashTableIter iter;
   gpointer value;
   guint64 result = 0;
 
-  /* A single node has no peers that could prove anything. */
   if (n_required == 0 || g_hash_table_size (authority->nodes) < n_required)
     return 0;
   times = g_array_new (FALSE, FALSE, sizeof (guint64));
@@ -116,40 +116,63 @@
   return result;
 }
 
-/* Returns the time at or after which a majority of the nodes, including this
-   one, proved the record. A cached time stays valid, as proofs only become
-   newer. */
+/* Returns the time at or after which a majority of the voters proved the
+   record. A cached time stays valid, as proofs only become newer. */
 static guint64
-authority_majority_proof_us (TouAuthority *authority, guint n_nodes,
+authority_majority_proof_us (TouAuthority *authority, guint n_required,
                              guint64 now_us)
 {
-  if (authority->majority_n != n_nodes
+  if (authority->majority_n != n_required
       || !authority_is_recent (authority->majority_proof_us, now_us)
       || now_us >= authority->computed_us + AUTHORITY_CACHE_US)
     {
       authority->majority_proof_us
-          = authority_find_majority (authority, n_nodes);
-      authority->majority_n = n_nodes;
+          = authority_find_majority (authority, n_required);
+      authority->majority_n = n_required;
       authority->computed_us = now_us;
     }
-  return authority->majority_proof_us;
+  return MAX (authority->majority_proof_us, authority->earlier_proof_us);
+}
+
+void
+tou_authority_set_voters (TouAuthority *authority, const TouName *voters,
+                          guint n_voters)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  authority->earlier_proof_us
+      = MAX (authority->earlier_proof_us, authority->majority_proof_us);
+  authority->majority_proof_us = 0;
+  authority->computed_us = 0;
+  g_hash_table_iter_init (&iter, authority->nodes);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      guint i = 0;
+
+      while (i < n_voters && !tou_name_equal (&voters[i], key))
+        i++;
+      if (i == n_voters)
+        g_hash_table_iter_remove (&iter);
+    }
 }
 
 guint64
-tou_authority_proved_us (TouAuthority *authority, guint n_nodes, guint64 now_us)
+tou_authority_proved_us (TouAuthority *authority, guint n_required,
+                         guint64 now_us)
 {
   return MAX (authority->store_proof_us,
-              authority_majority_proof_us (authority, n_nodes, now_us));
+              authority_majority_proof_us (authority, n_required, now_us));
 }
 
 gboolean
-tou_authority_is_valid (TouAuthority *authority, guint n_nodes, guint64 now_us)
+tou_authority_is_valid (TouAuthority *authority, guint n_required,
+                        guint64 now_us)
 {
   if (authority->record.revision == 0 || authority->record.moving)
     return FALSE;
-  return authority_is_recent (authority->store_proof_us, now_us)
-         || authority_is_recent (
-             authority_majority_proof_us (authority, n_nodes, now_us), now_us);
+  return authority_is_recent (
+      tou_authority_proved_us (authority, n_required, now_us), now_us);
 }
 
 gboolean
--- a/src/session/authority.h
+++ b/src/session/authority.h
@@ -4,9 +4,10 @@
  *
  * A node uses the primary of a group record for TOU_AUTHORITY_VALID_US after a
  * proof that no later record exists: a read of the store, or answers of a
- * majority of the nodes. A promotion waits until every node has acknowledged
- * the record that announces it, or until TOU_AUTHORITY_VALID_US after a
- * majority has. From then on no node uses the old primary.
+ * majority of the voters (see panel.h). A promotion waits until every node has
+ * acknowledged the record that announces it, or until TOU_AUTHORITY_VALID_US
+ * after a majority of the voters has. From then on no node uses the old
+ * primary.
  */
 #pragma once
 
@@ -68,12 +69,19 @@
 void tou_authority_prove_by_node (TouAuthority *authority, const TouName *node,
                                   guint64 revision, guint64 at_us);
 
+/**
+ * Removes the proofs of nodes that are not in @a voters. What these have proved
+ * so far stays proved.
+ */
+void tou_authority_set_voters (TouAuthority *authority, const TouName *voters,
+                               guint n_voters);
+
 /**
  * Returns the time of the newest proof, or 0.
  *
- * @param n_nodes registered nodes, including this one
+ * @param n_required number of other nodes whose answers are a proof; 0: none
  */
-guint64 tou_authority_proved_us (TouAuthority *authority, guint n_nodes,
+guint64 tou_authority_proved_us (TouAuthority *authority, guint n_required,
                                  guint64 now_us);
 
 /**
@@ -94,7 +102,7 @@
                                             guint64 since_contact_us);
 
 /** Returns TRUE if the record's primary may be used at @a now_us. */
-gboolean tou_authority_is_valid (TouAuthority *authority, guint n_nodes,
+gboolean tou_authority_is_valid (TouAuthority *authority, guint n_required,
                                  guint64 now_us);
 
 G_END_DECLS
--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -30,6 +30,21 @@
   out->status_us = endpoint->status_us;
 }
 
+/* With a panel, its members stop to prove the old record when they adopt the
+   new one; without, nodes that no longer use the old primary are counted. */
+static gboolean
+control_majority_has_record (const ControlGroup *state,
+                             const TouHandoverView *view)
+{
+  const TouProxy *proxy = state->control->proxy;
+  TouPanelVotes votes;
+
+  if (!tou_peers_have_panel (proxy))
+    return view->n_quiesced * 2 > view->n_nodes;
+  tou_peers_count_votes (&votes, state->control->peers, state->group);
+  return tou_panel_has_majority (&proxy->panel, &votes, proxy->n_nodes);
+}
+
 static void
 control_fill_view (const ControlGroup *state, TouHandoverView *out,
                    guint64 now_us)
@@ -63,6 +78,12 @@
   out->n_quiesced = tou_group_is_quiesced (group, now_us)
                     + tou_peers_count_quiesced (control->peers, group,
                                                 out->record.revision);
+  /* Nodes that registered or were removed lately may use the old primary. */
+  out->nodes_uncertain
+      = control->follow.revision < out->record.revision
+        || (control->removed_us != 0
+            && now_us < control->removed_us + TOU_AUTHORITY_REMOVE_US);
+  out->majority_has_record = control_majority_has_record (state, out);
   for (guint i = 0;
        i < group->endpoints->len && out->n_endpoints < TOU_GROUP_MAX_ENDPOINTS;
        i++)
@@ -113,9 +134,12 @@
   char *key = g_strconcat (CONTROL_GROUP_PREFIX, state->group->name.data, NULL);
   char *value = tou_record_encode (&action->record);
   /* The write fails unless this node still has the leader key, so only the
-     leader sends the promotion request that follows it. */
+     leader sends the promotion request that follows it, and unless the panel
+     whose majority it waited for is the current one. */
   PlatStoreCondition conditions[]
-      = { { key, current->revision }, { CONTROL_LEADER_KEY, control->token } };
+      = { { key, current->revision },
+          { CONTROL_LEADER_KEY, control->token },
+          { CONTROL_PANEL_KEY, control->proxy->panel.revision } };
   PlatStoreChange change
       = { conditions, G_N_ELEMENTS (conditions), key, value, 0 };
   ControlWrite *write = g_new0 (ControlWrite, 1);
@@ -265,12 +289,17 @@
   return state;
 }
 
+gboolean
+tou_control_may_act (const TouControl *control, guint64 now_us)
+{
+  return control->is_leader && now_us < control->lease_until_us
+         && now_us >= control->leader_since_us + CONTROL_TAKEOVER_DELAY_US;
+}
+
 void
 tou_control_run_groups (TouControl *control, guint64 now_us)
 {
-  gboolean may_act
-      = control->is_leader && now_us < control->lease_until_us
-        && now_us >= control->leader_since_us + CONTROL_TAKEOVER_DELAY_US;
+  gboolean may_act = tou_control_may_act (control, now_us);
   GHashTableIter iter;
   gpointer value;
 
--- /dev/null
+++ b/src/session/control-panel.c
@@ -0,0 +1,103 @@
+#include "control-private.h"
+
+/* Pause after a change of the panel, or a failed one. */
+#define CONTROL_PANEL_PAUSE_US (500 * TOU_US_PER_MS)
+/* Time after which no node uses an incomplete list of nodes any more: the
+   longest watch in the time within which a configuration must be applied. */
+#define CONTROL_PANEL_ALL_US (6 * TOU_US_PER_S)
+
+/* A panel being written. It is adopted on success, before the watch returns
+   it. */
+typedef struct
+{
+  TouControl *control;
+  TouPanel panel;
+} ControlPanelWrite;
+
+static void
+control_on_panel_written (gpointer user_data, const PlatStoreReply *reply)
+{
+  ControlPanelWrite *write = user_data;
+  TouControl *control = write->control;
+
+  tou_control_count_reply (control, reply->result, "write_panel");
+  control->writing_panel = FALSE;
+  control->panel_after_us = tou_clock_us () + CONTROL_PANEL_PAUSE_US;
+  if (reply->result == PLAT_STORE_OK)
+    {
+      write->panel.revision = reply->revision;
+      tou_peers_adopt_panel (control->peers, &write->panel);
+    }
+  g_free (write);
+}
+
+static void
+control_write_panel (TouControl *control, const TouPanel *panel)
+{
+  char *value = tou_panel_encode (panel);
+  PlatStoreCondition conditions[]
+      = { { CONTROL_PANEL_KEY, control->proxy->panel.revision },
+          { CONTROL_LEADER_KEY, control->token } };
+  PlatStoreChange change
+      = { conditions, G_N_ELEMENTS (conditions), CONTROL_PANEL_KEY, value, 0 };
+  ControlPanelWrite *write = g_new0 (ControlPanelWrite, 1);
+
+  write->control = control;
+  write->panel = *panel;
+  control->writing_panel = TRUE;
+  plat_store_change (control->store, &change, control_on_panel_written, write);
+  free (value);
+}
+
+/* TRUE once no node can obtain or use a proof of the previous panel. */
+static gboolean
+control_is_panel_settled (TouControl *control, guint64 now_us)
+{
+  const TouProxy *proxy = control->proxy;
+  const TouPanel *panel = &proxy->panel;
+  TouPanelVotes votes;
+
+  /* A previous panel that neither reads the store nor answers this node no
+     longer vouches for its records after this time. */
+  if (now_us >= proxy->panel_adopted_us + TOU_AUTHORITY_STORE_TIMEOUT_US
+                    + TOU_AUTHORITY_REMOVE_US)
+    return TRUE;
+  tou_peers_count_votes (&votes, control->peers, NULL);
+  if (!tou_panel_has_majority (panel, &votes, proxy->n_nodes))
+    return FALSE;
+  if (control->panel_acked_revision != panel->revision)
+    {
+      control->panel_acked_revision = panel->revision;
+      control->panel_acked_us = now_us;
+    }
+  return now_us >= control->panel_acked_us
+                       + (panel->n_previous > 0 ? TOU_AUTHORITY_VALID_US
+                                                : CONTROL_PANEL_ALL_US);
+}
+
+void
+tou_control_run_panel (TouControl *control, guint64 now_us)
+{
+  TouPanel panel;
+  GArray *nodes;
+
+  if (!tou_control_may_act (control, now_us) || control->writing_panel
+      || now_us < control->panel_after_us)
+    return;
+  if (control->proxy->panel.joint)
+    {
+      if (!control_is_panel_settled (control, now_us))
+        return;
+      panel = control->proxy->panel;
+      panel.joint = FALSE;
+      panel.n_previous = 0;
+      control_write_panel (control, &panel);
+      return;
+    }
+  nodes = tou_peers_nodes (control->peers, now_us);
+  if (tou_panel_choose (&panel, &control->proxy->panel,
+                        (const TouGatewayNode *)(void *)nodes->data,
+                        nodes->len))
+    control_write_panel (control, &panel);
+  g_array_unref (nodes);
+}
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "control.h"
+#include "follow.h"
 #include "handover.h"
 
 G_BEGIN_DECLS
@@ -13,6 +14,7 @@
 /** Store keys. */
 #define CONTROL_LEADER_KEY "tou/leader"
 #define CONTROL_GROUP_PREFIX "tou/group/"
+#define CONTROL_PANEL_KEY "tou/panel"
 
 typedef struct
 {
@@ -32,10 +34,10 @@
 
   gboolean connected;
   gboolean listing;
-  gboolean watching;
   gboolean must_list;
   guint64 retry_after_us;
-  guint64 revision;        /* last revision applied */
+  guint64 retry_pause_us;  /* after the next failed list or watch */
+  TouFollow follow;        /* of the store's changes */
   guint64 list_revision;   /* revision of the first page of the list */
   GHashTable *listed_keys; /* keys received in the current list */
 
@@ -56,13 +58,29 @@
   guint64 leader_since_us;
   guint64 lease_until_us;
   guint64 renew_us;
+  guint64 majority_us; /* when half of the nodes were last heard */
   gboolean removing;
+  guint64 removed_us; /* when a node was last removed; 0: never */
+
+  gboolean writing_panel;
+  guint64 panel_after_us;       /* no change of the panel before this time */
+  guint64 panel_acked_us;       /* when a majority of the previous one had it */
+  guint64 panel_acked_revision; /* panel that panel_acked_us is about */
 };
 
 /** Counts a finished call and updates whether the store is connected. */
 void tou_control_count_reply (TouControl *control, PlatStoreResult result,
                               const char *call);
 
+/** TRUE while this node is the leader and the previous one has ended. */
+gboolean tou_control_may_act (const TouControl *control, guint64 now_us);
+
+/**
+ * Changes the panel while this node is the leader: replaces members that have
+ * failed, and completes a change once the previous panel is obsolete.
+ */
+void tou_control_run_panel (TouControl *control, guint64 now_us);
+
 /** Runs the changes of primary while this node is the leader. */
 void tou_control_run_groups (TouControl *control, guint64 now_us);
 
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -13,14 +13,26 @@
    connection in time. */
 #define CONTROL_WATCH_NUMERATOR 2
 #define CONTROL_WATCH_DENOMINATOR 3
+/* The same while the panel reports the store's revision: a node that misses a
+   change learns of it from the panel and watches anew. */
+#define CONTROL_WATCH_LONG_US (20 * TOU_US_PER_S)
+/* Members of the panel, on which the others rely, watch for this share of the
+   time within which a configuration must be applied. */
+#define CONTROL_WATCH_MEMBER_DIVISOR 4
 /* Pause after a watch that returned changes, multiplied by the number of nodes.
    When all nodes start at once, each registration wakes every other node; the
-   pause limits all nodes together to 125 calls a second. Its maximum is a fifth
-   of the time within which a configuration must be applied. */
+   pause limits all nodes together to 125 calls a second. Its maximum is a share
+   of the time within which a configuration must be applied: a larger one while
+   the panel passes on new records. */
 #define CONTROL_WATCH_PAUSE_US (8 * TOU_US_PER_MS)
 #define CONTROL_WATCH_PAUSE_DIVISOR 5
-/* Pause after a failed call; outages last seconds. */
+#define CONTROL_WATCH_PAUSE_PANEL_DIVISOR 3
+/* The same for members of the panel, on which the others rely. */
+#define CONTROL_WATCH_PAUSE_MEMBER_US (100 * TOU_US_PER_MS)
+/* Pause after a failed call; outages last seconds. While the panel answers, the
+   pause before the next list or watch doubles up to the maximum. */
 #define CONTROL_RETRY_US (200 * TOU_US_PER_MS)
+#define CONTROL_RETRY_MAX_US (1600 * TOU_US_PER_MS)
 /* Pause before the first list has succeeded: until then the node cannot serve
    statements. */
 #define CONTROL_START_RETRY_US (50 * TOU_US_PER_MS)
@@ -32,6 +44,13 @@
 #define CONTROL_LEASE_MARGIN_US (300 * TOU_US_PER_MS)
 /* Elections of the nodes are spread over this time, to avoid conflicts. */
 #define CONTROL_ELECTION_SPREAD_MS 150
+/* Nodes outside the panel leave the election to its members for this long. */
+#define CONTROL_ELECTION_OUTSIDE_US (500 * TOU_US_PER_MS)
+/* So do nodes that do not reach a majority, and cannot change a primary. */
+#define CONTROL_ELECTION_MINORITY_US (2 * TOU_US_PER_S)
+/* A leader without heartbeats of half of the nodes for this long yields to one
+   on the other side of a partition. */
+#define CONTROL_MINORITY_US (1200 * TOU_US_PER_MS)
 /* Half of the nodes answer a heartbeat within half an interval, so proofs by
    nodes are up to one and a half intervals old. The store is read if the proofs
    are older by this margin, which covers round trips between regions, ticks and
@@ -95,7 +114,8 @@
   tou_evlog (
       TOU_EVLOG_STATE, answered ? "store_regained" : "store_lost",
       "\"call\":\"%s\",\"answer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT, call,
-      result == PLAT_STORE_REFUSED ? "refused" : "none", control->revision);
+      result == PLAT_STORE_REFUSED ? "refused" : "none",
+      control->follow.revision);
 }
 
 static void
@@ -262,6 +282,23 @@
     control_end_leadership (control, "leader key deleted or replaced");
 }
 
+static void
+control_on_panel (TouControl *control, const PlatStoreItem *item)
+{
+  TouPanel panel;
+
+  if (item->deleted)
+    return;
+  if (tou_panel_decode (&panel, &item->value) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_STATE, "panel_unreadable",
+                 "\"revision\":%" G_GUINT64_FORMAT, item->revision);
+      return;
+    }
+  panel.revision = item->revision;
+  tou_peers_adopt_panel (control->peers, &panel);
+}
+
 static void
 control_apply_item (TouControl *control, const PlatStoreItem *item)
 {
@@ -275,6 +312,15 @@
     control_on_group (control, item);
   else if (strcmp (item->key, CONTROL_LEADER_KEY) == 0)
     control_on_leader (control, item);
+  else if (strcmp (item->key, CONTROL_PANEL_KEY) == 0)
+    control_on_panel (control, item);
+}
+
+static void
+control_set_revision (TouControl *control, guint64 revision)
+{
+  tou_follow_applied (&control->follow, revision);
+  control->proxy->store_revision = revision;
 }
 
 /* Ends a list: endpoints and nodes that are not in it are marked as missing or
@@ -318,16 +364,32 @@
       control->leader_absent_since_us = now_us;
     }
   g_hash_table_destroy (nodes);
-  control->revision = control->list_revision;
+  control_set_revision (control, control->list_revision);
   control->listing = FALSE;
   control->must_list = FALSE;
   if (!control->proxy->synced)
     tou_evlog (TOU_EVLOG_STATE, "synced",
                "\"revision\":%" G_GUINT64_FORMAT ",\"keys\":%u",
-               control->revision, g_hash_table_size (control->listed_keys));
+               control->follow.revision,
+               g_hash_table_size (control->listed_keys));
   control->proxy->synced = TRUE;
 }
 
+/* Delays the next list or watch after a failed one. The store may turn many
+   nodes away for seconds, and is loaded by each of their calls. */
+static void
+control_pause_after_failure (TouControl *control, guint64 now_us)
+{
+  const TouProxy *proxy = control->proxy;
+
+  if (tou_panel_contains (&proxy->panel, &proxy->settings.node)
+      || !tou_peers_reach_panel (control->peers, now_us))
+    control->retry_pause_us = CONTROL_RETRY_US;
+  control->retry_after_us = now_us + control->retry_pause_us;
+  control->retry_pause_us
+      = MIN (2 * control->retry_pause_us, CONTROL_RETRY_MAX_US);
+}
+
 static void control_list_page (TouControl *control, const char *after);
 
 static void
@@ -340,10 +402,10 @@
   if (reply->result != PLAT_STORE_OK)
     {
       control->listing = FALSE;
-      control->retry_after_us
-          = tou_clock_us ()
-            + (control->proxy->synced ? CONTROL_RETRY_US
-                                      : CONTROL_START_RETRY_US);
+      if (control->proxy->synced)
+        control_pause_after_failure (control, tou_clock_us ());
+      else
+        control->retry_after_us = tou_clock_us () + CONTROL_START_RETRY_US;
       return;
     }
   if (control->list_revision == 0)
@@ -370,29 +432,55 @@
   plat_store_list (control->store, "", after, control_on_list, control);
 }
 
+/* The leader must know of all nodes that registered before its own writes. */
 static guint64
 control_watch_pause_us (const TouControl *control)
 {
   const TouProxy *proxy = control->proxy;
+  guint64 pause_us = proxy->n_nodes * CONTROL_WATCH_PAUSE_US;
+  guint64 limit_us
+      = proxy->settings.config_apply_us / CONTROL_WATCH_PAUSE_DIVISOR;
 
-  return MIN ((guint64)proxy->n_nodes * CONTROL_WATCH_PAUSE_US,
-              proxy->settings.config_apply_us / CONTROL_WATCH_PAUSE_DIVISOR);
+  if (control->is_leader)
+    return 0;
+  /* The nodes that start at the same time are not known yet. */
+  if (tou_clock_us () < proxy->link_hold_until_us)
+    return limit_us;
+  if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
+    return CONTROL_WATCH_PAUSE_MEMBER_US;
+  if (tou_peers_reach_panel (control->peers, tou_clock_us ()))
+    return MIN (2 * pause_us, proxy->settings.config_apply_us
+                                  / CONTROL_WATCH_PAUSE_PANEL_DIVISOR);
+  return MIN (pause_us, limit_us);
 }
 
+typedef struct
+{
+  TouControl *control;
+  TouWatch watch;
+} ControlWatch;
+
 static void
 control_on_watch (gpointer user_data, const PlatStoreReply *reply)
 {
-  TouControl *control = user_data;
+  ControlWatch *call = user_data;
+  TouControl *control = call->control;
+  gboolean handled = tou_follow_returned (&control->follow, call->watch,
+                                          reply->result == PLAT_STORE_OK);
 
-  control->watching = FALSE;
+  g_free (call);
   tou_control_count_reply (control, reply->result, "watch");
+  if (!handled || control->listing)
+    return;
   switch (reply->result)
     {
     case PLAT_STORE_OK:
+      control->retry_pause_us = CONTROL_RETRY_US;
       for (guint i = 0; i < reply->items->len; i++)
         control_apply_item (control,
                             &g_array_index (reply->items, PlatStoreItem, i));
-      control->revision = MAX (control->revision, reply->revision);
+      control_set_revision (control,
+                            MAX (control->follow.revision, reply->revision));
       if (reply->items->len > 0)
         control->retry_after_us
             = tou_clock_us () + control_watch_pause_us (control);
@@ -400,22 +488,50 @@
     case PLAT_STORE_COMPACTED:
       control->must_list = TRUE;
       tou_evlog (TOU_EVLOG_STATE, "history_lost",
-                 "\"revision\":%" G_GUINT64_FORMAT, control->revision);
+                 "\"revision\":%" G_GUINT64_FORMAT, control->follow.revision);
       break;
     case PLAT_STORE_CONFLICT:
     case PLAT_STORE_NOT_FOUND:
     case PLAT_STORE_REFUSED:
     case PLAT_STORE_UNKNOWN:
-      control->retry_after_us = tou_clock_us () + CONTROL_RETRY_US;
+      control_pause_after_failure (control, tou_clock_us ());
       break;
     }
 }
 
+static guint64
+control_short_watch_us (const TouControl *control)
+{
+  return control->proxy->settings.config_apply_us * CONTROL_WATCH_NUMERATOR
+         / CONTROL_WATCH_DENOMINATOR;
+}
+
+static guint64
+control_watch_wait_us (const TouControl *control, guint64 now_us)
+{
+  const TouProxy *proxy = control->proxy;
+
+  if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
+    return proxy->settings.config_apply_us / CONTROL_WATCH_MEMBER_DIVISOR;
+  return tou_peers_reach_panel (control->peers, now_us)
+             ? CONTROL_WATCH_LONG_US
+             : control_short_watch_us (control);
+}
+
 /* Starts the next list or watch if none is running. */
 static void
 control_follow_store (TouControl *control, guint64 now_us)
 {
-  if (control->listing || control->watching || now_us < control->retry_after_us)
+  const TouProxy *proxy = control->proxy;
+  ControlWatch *call;
+
+  if (proxy->panel.revision != 0)
+    tou_follow_check (&control->follow,
+                      tou_peers_newest_store_revision (control->peers),
+                      tou_peers_reach_panel (control->peers, now_us),
+                      control_short_watch_us (control), now_us);
+  if (control->listing || control->follow.awaited != 0
+      || now_us < control->retry_after_us)
     return;
   if (control->must_list)
     {
@@ -424,11 +540,12 @@
       control_list_page (control, NULL);
       return;
     }
-  control->watching = TRUE;
-  plat_store_watch (control->store, "", control->revision,
-                    control->proxy->settings.config_apply_us
-                        * CONTROL_WATCH_NUMERATOR / CONTROL_WATCH_DENOMINATOR,
-                    control_on_watch, control);
+  call = g_new0 (ControlWatch, 1);
+  call->control = control;
+  call->watch = tou_follow_start (&control->follow, now_us);
+  plat_store_watch (control->store, "", control->follow.revision,
+                    control_watch_wait_us (control, now_us), control_on_watch,
+                    call);
 }
 
 static void
@@ -494,17 +611,22 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (control->proving || now_us < control->proved_us + CONTROL_RETRY_US)
+  /* A change of primary waits for registered nodes only. */
+  if (control->proving || !control->registered
+      || now_us < control->proved_us + CONTROL_RETRY_US)
     return;
   g_hash_table_iter_init (&iter, control->proxy->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       TouGroup *group = value;
+      guint64 proved_us = tou_authority_proved_us (
+          group->authority, tou_proxy_required_proofs (control->proxy), now_us);
 
+      /* The panel is given time to prove a new record. */
+      if (tou_peers_reach_panel (control->peers, now_us))
+        proved_us = MAX (proved_us, group->adopted_us);
       if (tou_authority_record (group->authority)->revision != 0)
-        oldest_us = MIN (
-            oldest_us, tou_authority_proved_us (
-                           group->authority, control->proxy->n_nodes, now_us));
+        oldest_us = MIN (oldest_us, proved_us);
     }
   if (oldest_us == G_MAXUINT64
       || now_us < oldest_us + tou_peers_interval_us (control->proxy) * 3 / 2
@@ -571,15 +693,46 @@
   control_claim_leadership (control);
 }
 
+static void
+control_on_revoked (gpointer user_data, const PlatStoreReply *reply)
+{
+  tou_control_count_reply (user_data, reply->result, "revoke");
+}
+
+static gboolean
+control_hears_majority (const TouControl *control, guint64 now_us)
+{
+  return (1 + tou_peers_count_reporting (control->peers, now_us)) * 2
+         > control->proxy->n_nodes;
+}
+
+/* TRUE if this node reaches those whose answers a change of primary needs. */
+static gboolean
+control_reaches_majority (const TouControl *control, guint64 now_us)
+{
+  return control->proxy->panel.revision != 0
+             ? tou_peers_reach_panel (control->peers, now_us)
+             : control_hears_majority (control, now_us);
+}
+
 static void
 control_elect (TouControl *control, guint64 now_us)
 {
-  guint64 spread_us = g_str_hash (control->proxy->settings.node.data)
+  const TouProxy *proxy = control->proxy;
+  guint64 spread_us = g_str_hash (proxy->settings.node.data)
                       % CONTROL_ELECTION_SPREAD_MS * TOU_US_PER_MS;
 
+  /* A leader in the panel receives the heartbeats of all nodes already. */
+  if (proxy->panel.revision != 0
+      && !tou_panel_contains (&proxy->panel, &proxy->settings.node))
+    spread_us += CONTROL_ELECTION_OUTSIDE_US;
+  if (!control_reaches_majority (control, now_us))
+    spread_us += CONTROL_ELECTION_MINORITY_US;
+
+  /* Between watches, another node may have been elected. */
   if (control->is_leader || control->electing || control->leader_key_exists
-      || !control->proxy->synced || !control->registered
-      || control->proxy->draining
+      || control->follow.awaited == 0 || !control->proxy->synced
+      || !control->registered || control->proxy->draining
       || now_us < MAX (control->leader_absent_since_us + spread_us,
                        control->elect_after_us))
     return;
@@ -604,9 +757,26 @@
     control_yield_leadership (control, "lease expired");
 }
 
+/* A leader in a minority cannot change a primary, and keeps others from it. */
+static void
+control_check_majority (TouControl *control, guint64 now_us)
+{
+  if (control_hears_majority (control, now_us))
+    control->majority_us = now_us;
+  if (!control->is_leader
+      || now_us < MAX (control->majority_us, control->leader_since_us)
+                      + CONTROL_MINORITY_US)
+    return;
+  plat_store_lease_revoke (control->store, control->lease, control_on_revoked,
+                           control);
+  control->lease = 0;
+  control_yield_leadership (control, "no heartbeats of a majority");
+}
+
 static void
 control_renew (TouControl *control, guint64 now_us)
 {
+  control_check_majority (control, now_us);
   if (!control->is_leader)
     return;
   if (now_us >= control->lease_until_us)
@@ -629,6 +799,7 @@
 
   tou_control_count_reply (control, reply->result, "remove_node");
   control->removing = FALSE;
+  control->removed_us = tou_clock_us ();
 }
 
 /* Removes an unreachable node, which changes of primary would wait for. */
@@ -668,15 +839,10 @@
   control_renew (control, now_us);
   if (control->is_leader)
     control_remove_unreachable (control, now_us);
+  tou_control_run_panel (control, now_us);
   tou_control_run_groups (control, now_us);
 }
 
-static void
-control_on_deregistered (gpointer user_data, const PlatStoreReply *reply)
-{
-  tou_control_count_reply (user_data, reply->result, "leave");
-}
-
 void
 tou_control_deregister (TouControl *control)
 {
@@ -684,11 +850,12 @@
                            control->proxy->settings.node.data, NULL);
   PlatStoreChange change = { NULL, 0, key, NULL, 0 };
 
+  control->proxy->deregistered = TRUE;
   control_end_leadership (control, "stopping");
   if (control->lease != 0)
-    plat_store_lease_revoke (control->store, control->lease,
-                             control_on_deregistered, control);
-  plat_store_change (control->store, &change, control_on_deregistered, control);
+    plat_store_lease_revoke (control->store, control->lease, control_on_revoked,
+                             control);
+  plat_store_change (control->store, &change, control_on_revoked, control);
   g_free (key);
 }
 
@@ -711,6 +878,8 @@
   control->store = store;
   control->peers = peers;
   control->must_list = TRUE;
+  control->retry_pause_us = CONTROL_RETRY_US;
+  tou_follow_init (&control->follow);
   control->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                            NULL, control_group_free);
   control->listed_keys
--- a/src/session/control.h
+++ b/src/session/control.h
@@ -5,7 +5,8 @@
  * the leader.
  *
  * Keys written: "tou/node/NAME" (address), "tou/leader" (name of the leader,
- * with a lease), "tou/group/NAME" (record of a group).
+ * with a lease), "tou/group/NAME" (record of a group), "tou/panel" (nodes that
+ * prove records).
  */
 #pragma once
 
--- /dev/null
+++ b/src/session/follow.h
@@ -0,0 +1,58 @@
+/**
+ * @file follow.h
+ * Follows the store's changes by one watch after the other.
+ *
+ * Pattern: connections that go silent for good, and slow links over which a
+ * large change takes more than a second. A watch that has not returned what the
+ * panel already has is replaced; both may then return, in any order.
+ */
+#pragma once
+
+#include "clock.h"
+
+G_BEGIN_DECLS
+
+/** A watch; its answer is passed with it. */
+typedef struct
+{
+  guint id;
+  guint64 after; /**< revision whose successors it returns */
+} TouWatch;
+
+typedef struct
+{
+  guint64 revision;  /**< last revision applied */
+  guint awaited;     /**< id of the current watch; 0: none */
+  guint n_watches;   /**< number of watches so far */
+  guint64 sent_us;   /**< when the current one was sent */
+  guint64 behind_us; /**< since when the panel has a newer revision; 0: no */
+  guint64 limit_us;  /**< time after which a watch that is behind is replaced */
+} TouFollow;
+
+void tou_follow_init (TouFollow *follow);
+
+/** Starts a watch. */
+TouWatch tou_follow_start (TouFollow *follow, guint64 now_us);
+
+/**
+ * Replaces the current watch if it is behind the panel for too long, or if it
+ * was sent @a short_us ago and the panel no longer answers.
+ *
+ * @param panel_revision newest revision that the panel has reported
+ */
+void tou_follow_check (TouFollow *follow, guint64 panel_revision,
+                       gboolean reaches_panel, guint64 short_us,
+                       guint64 now_us);
+
+/**
+ * Handles the end of @a watch.
+ *
+ * @return TRUE if its changes or its error are to be handled
+ */
+gboolean tou_follow_returned (TouFollow *follow, TouWatch watch,
+                              gboolean succeeded);
+
+/** Changes up to @a revision have been applied. */
+void tou_follow_applied (TouFollow *follow, guint64 revision);
+
+G_END_DECLS
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -259,14 +259,14 @@
 
   if (handover_cancel (handover, view, now_us, out))
     return;
-  if (view->n_quiesced * 2 <= view->n_nodes)
+  if (!view->majority_has_record)
     {
       handover->majority_us = 0;
       return;
     }
   if (handover->majority_us == 0)
     handover->majority_us = now_us;
-  if (view->n_quiesced < view->n_nodes
+  if ((view->n_quiesced < view->n_nodes || view->nodes_uncertain)
       && now_us < handover->majority_us + TOU_AUTHORITY_VALID_US)
     return;
   handover->quiesced_us = now_us;
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -38,6 +38,10 @@
                            0: all reporting nodes */
   guint n_suspecting; /**< observing nodes that suspect the primary */
   guint n_quiesced;   /**< nodes that no longer use the old primary */
+  gboolean
+      nodes_uncertain; /**< n_nodes may not include all nodes with proofs */
+  /** A majority of the voters no longer proves an earlier record. */
+  gboolean majority_has_record;
   guint n_endpoints;
   TouHandoverEndpoint endpoints[TOU_GROUP_MAX_ENDPOINTS];
 } TouHandoverView;
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -8,20 +8,19 @@
 
 /* A heartbeat proves a primary for 1 s, so four may be lost. */
 #define PEERS_INTERVAL_US (200 * TOU_US_PER_MS)
-/* With many nodes, of which only a majority must answer, two may be lost. */
-#define PEERS_MANY_NODES 16
-#define PEERS_MANY_INTERVAL_US (400 * TOU_US_PER_MS)
+/* With a panel, whose members answer at once, two may be lost. */
+#define PEERS_PANEL_INTERVAL_US (400 * TOU_US_PER_MS)
 /* Heartbeats that all nodes send at the same time cross each other and are
    answered only an interval later. A random jitter of up to an eighth of the
    interval prevents this. */
 #define PEERS_JITTER_DIVISOR 8
-/* With many nodes, a new record needs two rounds of heartbeats, a third for
-   losses and a fourth for nodes that received the record later. */
-#define PEERS_MANY_URGENT_PERIOD_US (150 * TOU_US_PER_MS)
 /* Interval during a change of primary, whose steps wait for heartbeats, and for
    the period after a new record, whose proofs need them as well. */
 #define PEERS_URGENT_INTERVAL_US (50 * TOU_US_PER_MS)
 #define PEERS_URGENT_PERIOD_US (500 * TOU_US_PER_MS)
+/* With a panel, the leader is told of changes at once; they are repeated at
+   this interval while it waits for them. */
+#define PEERS_REPEAT_INTERVAL_US (150 * TOU_US_PER_MS)
 /* Maximum age of the last heartbeat of a reporting node: four may be lost. */
 #define PEERS_REPORTING_US (1000 * TOU_US_PER_MS)
 /* A node without a heartbeat for this long is not used as a gateway: four
@@ -30,11 +29,27 @@
 /* Transactions relayed for a node without a heartbeat for this long are ended.
    Databases close unreachable connections after the same time. */
 #define PEERS_EXPIRED_US (3 * TOU_US_PER_S)
-#define PEERS_VERSION 2
-/* Numbers of fields: of a message, and of a group with and without record. */
-#define PEERS_FIELDS 7
+/* Interval at which a member updates what it tells all nodes alike. */
+#define PEERS_SUMMARY_INTERVAL_US (100 * TOU_US_PER_MS)
+/* Positions older than this are of no use for reads of a stated age. */
+#define PEERS_POSITION_MAX_AGE_US (2 * TOU_US_PER_S)
+/* Maximum number of silent nodes named in a heartbeat, which has to fit into a
+   datagram; the others are named once these are removed. */
+#define PEERS_MAX_SILENT 100
+#define PEERS_VERSION 3
+/* Numbers of fields: of a message, of a panel, of a position, and of a group
+   with and without record. */
+#define PEERS_FIELDS 12
+#define PEERS_PANEL_FIELDS 4
+#define PEERS_POSITION_FIELDS 4
 #define PEERS_RECORD_FIELDS 8
 #define PEERS_GROUP_FIELDS 4
+/* Flags of a message. */
+#define PEERS_WANTS_REPLY 1
+/* The answer is to contain records and positions. */
+#define PEERS_WANTS_DETAILS 2
+/* The sender's records may be used as proofs. */
+#define PEERS_VOUCHES 4
 /* Multipliers of the splitmix64 mixer. */
 #define PEERS_MIX_1 G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9)
 #define PEERS_MIX_2 G_GUINT64_CONSTANT (0x94d049bb133111eb)
@@ -47,6 +62,13 @@
   gboolean suspects;
 } PeerReport;
 
+/* A node that a member of the panel does not receive heartbeats from. */
+typedef struct
+{
+  guint hash; /* of its name */
+  gboolean expired;
+} PeerSilent;
+
 typedef struct
 {
   TouName node;
@@ -55,19 +77,33 @@
   guint64 revision; /* of its registration in the store */
   guint64 incarnation;
   guint64 last_heartbeat_us;
-  guint64 echo_us; /* send time of its last heartbeat, to be returned to it */
-  guint64 digest;  /* of its records; 0: unknown */
+  guint64 echo_us;   /* send time of its last heartbeat, to be returned to it */
+  guint64 echoed_us; /* send time of this node's last one that it returned */
+  guint64 rtt_us;    /* of the last reply */
+  guint64 digest;    /* of its records; 0: unknown */
+  guint64 panel_revision;
+  guint64 store_revision;
+  GArray *silent;     /* of PeerSilent */
   GHashTable *groups; /* TouName to PeerReport */
 } Peer;
 
+/* Two ways to exchange heartbeats. Few nodes: each node sends to all others,
+   and a majority of them proves a record. Many nodes: each node sends to the
+   panel and to the leader, the panel answers, and a majority of it proves a
+   record and reports which nodes are silent. */
 struct TouPeers
 {
   TouProxy *proxy;
   uv_udp_t udp;
-  GHashTable *nodes;      /* TouName to Peer */
-  guint64 sent_all_us;    /* last heartbeats to all nodes */
-  guint64 jitter_us;      /* added to the next interval */
-  guint64 sent_leader_us; /* last heartbeat to the leader */
+  GHashTable *nodes;       /* TouName to Peer */
+  guint64 sent_all_us;     /* last heartbeats to all nodes or the panel */
+  guint64 jitter_us;       /* added to the next interval */
+  guint64 sent_leader_us;  /* last heartbeat to the leader */
+  guint64 sent_state;      /* hash of the last state sent to the leader */
+  guint64 member_since_us; /* when this node became a member of the panel */
+  guint64 summary_us;      /* when the two below were updated */
+  GArray *silent;          /* of PeerSilent: nodes that this one misses */
+  gboolean vouches;        /* this node's records may be used as proofs */
 };
 
 static void
@@ -76,6 +112,7 @@
   Peer *peer = data;
 
   g_hash_table_destroy (peer->groups);
+  g_array_unref (peer->silent);
   g_free (peer);
 }
 
@@ -93,6 +130,9 @@
   peer->incarnation = 0;
   peer->echo_us = 0;
   peer->digest = 0;
+  peer->panel_revision = 0;
+  peer->store_revision = 0;
+  g_array_set_size (peer->silent, 0);
   g_hash_table_remove_all (peer->groups);
 }
 
@@ -115,6 +155,7 @@
       peer->last_heartbeat_us = tou_clock_us ();
       peer->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                             g_free, g_free);
+      peer->silent = g_array_new (FALSE, FALSE, sizeof (PeerSilent));
       g_hash_table_insert (peers->nodes, &peer->node, peer);
     }
   peer->address = parsed;
@@ -218,49 +259,149 @@
   return digest;
 }
 
-/* Returns TRUE if the group's state contains nothing new for @a peer. */
+/* What a heartbeat contains besides its header. */
+typedef enum
+{
+  PEERS_STATE,    /* suspicions, and groups whose primary is being changed */
+  PEERS_RECORDS,  /* all records, unless the receiver has them */
+  PEERS_POSITIONS /* the same, and the positions of the primaries */
+} PeersContent;
+
+/* Returns TRUE if the group's state contains nothing new for the receiver. */
 static gboolean
-peers_can_skip_group (const Peer *peer, TouGroup *group, gboolean same_records,
-                      guint64 now_us)
+peers_can_skip_group (TouGroup *group, gboolean skip_records)
 {
   const TouEndpoint *primary = tou_group_recorded_primary (group);
 
-  return same_records && peers_has_record (peer, group)
-         && !(primary != NULL && tou_endpoint_is_suspect (primary))
-         && !tou_group_is_quiesced (group, now_us);
+  return skip_records && !tou_authority_record (group->authority)->moving
+         && !(primary != NULL && tou_endpoint_is_suspect (primary));
 }
 
-/* A node that has not read the store since it started does not have the records
-   it acknowledged before, so it sends no groups. */
 static void
-peers_pack (msgpack_packer *packer, TouPeers *peers, const Peer *peer,
-            guint64 digest, guint64 now_us)
+peers_pack_groups (msgpack_packer *packer, const TouPeers *peers,
+                   const Peer *peer, PeersContent content, guint64 now_us)
 {
-  TouProxy *proxy = peers->proxy;
-  gboolean same_records = digest != 0 && digest == peer->digest;
+  const TouProxy *proxy = peers->proxy;
+  guint64 digest = tou_peers_digest (proxy);
+  gboolean skip_records
+      = content == PEERS_STATE || (digest != 0 && digest == peer->digest);
   GHashTableIter iter;
   gpointer value;
   guint n_groups = 0;
 
-  msgpack_pack_array (packer, PEERS_FIELDS);
-  msgpack_pack_uint64 (packer, PEERS_VERSION);
-  pack_name (packer, &proxy->settings.node);
-  msgpack_pack_uint64 (packer, proxy->incarnation);
-  msgpack_pack_uint64 (packer, now_us);
-  msgpack_pack_uint64 (packer, peer->echo_us);
-  msgpack_pack_uint64 (packer, digest);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    n_groups += !peers_can_skip_group (peer, value, same_records, now_us);
+    n_groups += !peers_can_skip_group (value, skip_records);
   msgpack_pack_array (packer, n_groups);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    if (!peers_can_skip_group (peer, value, same_records, now_us))
+    if (!peers_can_skip_group (value, skip_records))
       peers_pack_group (packer, peer, value, now_us);
 }
 
 static void
-peers_send (TouPeers *peers, const Peer *peer, guint64 digest, guint64 now_us)
+peers_pack_names (msgpack_packer *packer, const TouName *names, guint n)
+{
+  msgpack_pack_array (packer, n);
+  for (guint i = 0; i < n; i++)
+    pack_name (packer, &names[i]);
+}
+
+/* A peer that reported an older panel gets this node's. */
+static void
+peers_pack_panel (msgpack_packer *packer, const TouPeers *peers,
+                  const Peer *peer)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+
+  if (peer->panel_revision >= panel->revision)
+    {
+      msgpack_pack_nil (packer);
+      return;
+    }
+  msgpack_pack_array (packer, PEERS_PANEL_FIELDS);
+  msgpack_pack_uint64 (packer, panel->revision);
+  msgpack_pack_uint64 (packer, panel->joint);
+  peers_pack_names (packer, panel->members, panel->n_members);
+  peers_pack_names (packer, panel->previous, panel->n_previous);
+}
+
+static void
+peers_pack_silent (msgpack_packer *packer, const TouPeers *peers)
+{
+  msgpack_pack_array (packer, peers->silent->len);
+  for (guint i = 0; i < peers->silent->len; i++)
+    {
+      const PeerSilent *silent = &g_array_index (peers->silent, PeerSilent, i);
+
+      msgpack_pack_uint64 (packer,
+                           (guint64)silent->hash << 1 | silent->expired);
+    }
+}
+
+/* Positions of the primaries with their ages, which a receiver can convert to
+   its own clock. */
+static void
+peers_pack_positions (msgpack_packer *packer, const TouPeers *peers,
+                      guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, peers->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += now_us < tou_freshness_newest_us (((TouGroup *)value)->freshness)
+                      + PEERS_POSITION_MAX_AGE_US;
+  msgpack_pack_array (packer, n);
+  g_hash_table_iter_init (&iter, peers->proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const TouGroup *group = value;
+      guint64 sent_us = tou_freshness_newest_us (group->freshness);
+      TouLogPos pos = { 0 };
+
+      if (now_us >= sent_us + PEERS_POSITION_MAX_AGE_US)
+        continue;
+      tou_freshness_required (group->freshness, sent_us, &pos);
+      msgpack_pack_array (packer, PEERS_POSITION_FIELDS);
+      pack_name (packer, &group->name);
+      msgpack_pack_uint64 (packer, pos.term);
+      msgpack_pack_uint64 (packer, pos.position);
+      msgpack_pack_uint64 (packer, now_us - sent_us);
+    }
+}
+
+/* A node that has not read the store since it started does not have the records
+   it acknowledged before, so it sends no groups. */
+static void
+peers_pack (msgpack_packer *packer, TouPeers *peers, const Peer *peer,
+            guint64 flags, PeersContent content, guint64 now_us)
+{
+  const TouProxy *proxy = peers->proxy;
+
+  msgpack_pack_array (packer, PEERS_FIELDS);
+  msgpack_pack_uint64 (packer, PEERS_VERSION);
+  pack_name (packer, &proxy->settings.node);
+  msgpack_pack_uint64 (packer, proxy->incarnation);
+  msgpack_pack_uint64 (packer, now_us);
+  msgpack_pack_uint64 (packer, peer->echo_us);
+  msgpack_pack_uint64 (packer, tou_peers_digest (proxy));
+  msgpack_pack_uint64 (packer, flags | (peers->vouches ? PEERS_VOUCHES : 0));
+  msgpack_pack_uint64 (packer, proxy->panel.revision);
+  msgpack_pack_uint64 (packer, proxy->store_revision);
+  peers_pack_panel (packer, peers, peer);
+  /* What only the panel knows. */
+  msgpack_pack_array (packer, content == PEERS_POSITIONS ? 2 : 1);
+  peers_pack_silent (packer, peers);
+  if (content == PEERS_POSITIONS)
+    peers_pack_positions (packer, peers, now_us);
+  peers_pack_groups (packer, peers, peer, content, now_us);
+}
+
+static void
+peers_send (TouPeers *peers, const Peer *peer, guint64 flags,
+            PeersContent content, guint64 now_us)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -268,7 +409,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  peers_pack (&packer, peers, peer, digest, now_us);
+  peers_pack (&packer, peers, peer, flags, content, now_us);
   buf = uv_buf_init (buffer.data, (unsigned int)buffer.size);
   /* Errors are ignored: the next heartbeat replaces a lost one. */
   uv_udp_try_send (&peers->udp, &buf, 1,
@@ -371,15 +512,13 @@
     {
       TouGroup *group = value;
       guint64 revision = tou_authority_record (group->authority)->revision;
-      PeerReport *report;
 
       if (revision == 0)
         continue;
       if (echo_us != 0)
         tou_authority_prove_by_node (group->authority, &peer->node, revision,
                                      echo_us);
-      report = peer_get_report (peer, &group->name);
-      report->revision = revision;
+      peer_get_report (peer, &group->name)->revision = revision;
     }
 }
 
@@ -401,59 +540,230 @@
     }
 }
 
-static gboolean
-peers_on_message (TouPeers *peers, const msgpack_object *object)
+/* Fields of a message that come before its groups. */
+typedef struct
 {
-  const msgpack_object *fields = object->via.array.ptr;
   TouName node;
-  Peer *peer;
-  guint64 version;
   guint64 incarnation;
   guint64 sent_us;
   guint64 echo_us;
   guint64 digest;
-  gboolean accepts_proofs;
+  guint64 flags;
+  guint64 panel_revision;
+  guint64 store_revision;
+} PeerHeader;
 
-  if (object->type != MSGPACK_OBJECT_ARRAY
-      || object->via.array.size != PEERS_FIELDS
-      || !unpack_number (&version, &fields[0]) || version != PEERS_VERSION
-      || !unpack_name (&node, &fields[1])
-      || !unpack_number (&incarnation, &fields[2])
-      || !unpack_number (&sent_us, &fields[3])
-      || !unpack_number (&echo_us, &fields[4])
-      || !unpack_number (&digest, &fields[5])
-      || fields[6].type != MSGPACK_OBJECT_ARRAY)
+static gboolean
+unpack_header (PeerHeader *out, const msgpack_object *fields)
+{
+  guint64 version;
+
+  return unpack_number (&version, &fields[0]) && version == PEERS_VERSION
+         && unpack_name (&out->node, &fields[1])
+         && unpack_number (&out->incarnation, &fields[2])
+         && unpack_number (&out->sent_us, &fields[3])
+         && unpack_number (&out->echo_us, &fields[4])
+         && unpack_number (&out->digest, &fields[5])
+         && unpack_number (&out->flags, &fields[6])
+         && unpack_number (&out->panel_revision, &fields[7])
+         && unpack_number (&out->store_revision, &fields[8]);
+}
+
+static gboolean
+unpack_names (TouName *names, guint *n, const msgpack_object *list)
+{
+  if (list->type != MSGPACK_OBJECT_ARRAY
+      || list->via.array.size > TOU_PANEL_SIZE)
     return FALSE;
-  peer = g_hash_table_lookup (peers->nodes, &node);
-  /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
-  if (peer == NULL || incarnation < peer->incarnation)
+  for (guint i = 0; i < list->via.array.size; i++)
+    if (!unpack_name (&names[(*n)++], &list->via.array.ptr[i]))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+peers_on_panel (TouPeers *peers, const msgpack_object *object)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  TouPanel panel = { 0 };
+  guint64 joint;
+
+  if (object->type == MSGPACK_OBJECT_NIL)
     return TRUE;
-  if (incarnation > peer->incarnation)
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size != PEERS_PANEL_FIELDS
+      || !unpack_number (&panel.revision, &fields[0])
+      || !unpack_number (&joint, &fields[1])
+      || !unpack_names (panel.members, &panel.n_members, &fields[2])
+      || !unpack_names (panel.previous, &panel.n_previous, &fields[3]))
+    return FALSE;
+  panel.joint = joint != 0;
+  tou_peers_adopt_panel (peers, &panel);
+  return TRUE;
+}
+
+static gboolean
+peers_on_silent (Peer *peer, const msgpack_object *list)
+{
+  if (list->type != MSGPACK_OBJECT_ARRAY)
+    return FALSE;
+  g_array_set_size (peer->silent, 0);
+  for (guint i = 0; i < list->via.array.size; i++)
     {
-      g_hash_table_remove_all (peer->groups);
-      peer->echo_us = 0;
+      guint64 number;
+      PeerSilent silent;
+
+      if (!unpack_number (&number, &list->via.array.ptr[i]))
+        return FALSE;
+      silent.hash = (guint)(number >> 1);
+      silent.expired = number & 1;
+      g_array_append_val (peer->silent, silent);
     }
-  peer->incarnation = incarnation;
+  return TRUE;
+}
+
+/* The member's answer was sent after @a echo_us, so the position includes all
+   commits acknowledged before that time less the position's age. */
+static gboolean
+peers_on_position (TouPeers *peers, const msgpack_object *object,
+                   guint64 echo_us)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  TouName name;
+  TouLogPos pos;
+  guint64 age_us;
+  TouGroup *group;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size != PEERS_POSITION_FIELDS
+      || !unpack_name (&name, &fields[0])
+      || !unpack_number (&pos.term, &fields[1])
+      || !unpack_number (&pos.position, &fields[2])
+      || !unpack_number (&age_us, &fields[3]))
+    return FALSE;
+  group = g_hash_table_lookup (peers->proxy->groups, &name);
+  if (group != NULL && age_us < echo_us
+      && tou_authority_record (group->authority)->term == pos.term)
+    tou_freshness_add (group->freshness, echo_us - age_us, pos);
+  return TRUE;
+}
+
+/* Handles what a member of the panel adds to its answers. */
+static gboolean
+peers_on_summary (TouPeers *peers, Peer *peer, const msgpack_object *object,
+                  guint64 echo_us)
+{
+  const msgpack_object *positions;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 1
+      || !peers_on_silent (peer, &object->via.array.ptr[0]))
+    return FALSE;
+  if (object->via.array.size < 2 || echo_us == 0)
+    return TRUE;
+  positions = &object->via.array.ptr[1];
+  if (positions->type != MSGPACK_OBJECT_ARRAY)
+    return FALSE;
+  for (guint i = 0; i < positions->via.array.size; i++)
+    if (!peers_on_position (peers, &positions->via.array.ptr[i], echo_us))
+      return FALSE;
+  return TRUE;
+}
+
+/* Returns TRUE if the records of @a peer prove this node's. A peer with a later
+   panel no longer votes in this node's. */
+static gboolean
+peers_accepts_proofs (const TouPeers *peers, const Peer *peer, guint64 flags)
+{
+  const TouProxy *proxy = peers->proxy;
+
+  if (!tou_peers_have_panel (proxy))
+    return peer->panel_revision == 0
+           && tou_authority_accepts_peer_proofs (
+               proxy->n_nodes,
+               1 + tou_peers_count_reporting (peers, peer->last_heartbeat_us),
+               peer->last_heartbeat_us
+                   - MIN (proxy->store_answered_us, peer->last_heartbeat_us));
+  return (flags & PEERS_VOUCHES) != 0
+         && peer->panel_revision <= proxy->panel.revision
+         && tou_panel_contains (&proxy->panel, &peer->node);
+}
+
+/* Updates @a peer. @return FALSE if the message is to be ignored */
+static gboolean
+peer_on_header (Peer *peer, const PeerHeader *header)
+{
+  if (header->incarnation < peer->incarnation)
+    return FALSE;
+  if (header->incarnation > peer->incarnation)
+    peer_reset (peer);
+  peer->incarnation = header->incarnation;
   peer->last_heartbeat_us = tou_clock_us ();
   /* Datagrams may arrive out of order. */
-  if (sent_us < peer->echo_us)
+  if (header->sent_us < peer->echo_us)
+    return FALSE;
+  peer->echo_us = header->sent_us;
+  peer->digest = header->digest;
+  peer->panel_revision = header->panel_revision;
+  peer->store_revision = header->store_revision;
+  if (header->echo_us <= peer->last_heartbeat_us)
+    {
+      peer->echoed_us = MAX (peer->echoed_us, header->echo_us);
+      peer->rtt_us = peer->last_heartbeat_us - header->echo_us;
+    }
+  return TRUE;
+}
+
+/* The panel and the leader answer every node, and a former member those that
+   have not received its successor. */
+static gboolean
+peers_answers (const TouPeers *peers, const Peer *peer)
+{
+  const TouProxy *proxy = peers->proxy;
+
+  return !proxy->deregistered
+         && (peer->panel_revision < proxy->panel.revision
+             || tou_panel_contains (&proxy->panel, &proxy->settings.node)
+             || tou_name_equal (&proxy->leader, &proxy->settings.node));
+}
+
+static gboolean
+peers_on_message (TouPeers *peers, const msgpack_object *object)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  const msgpack_object *groups;
+  PeerHeader header;
+  Peer *peer;
+  guint64 echo_us;
+  gboolean accepts_proofs;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY
+      || object->via.array.size != PEERS_FIELDS
+      || !unpack_header (&header, fields)
+      || fields[11].type != MSGPACK_OBJECT_ARRAY)
+    return FALSE;
+  groups = &fields[11];
+  peer = g_hash_table_lookup (peers->nodes, &header.node);
+  /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
+  if (peer == NULL || !peer_on_header (peer, &header))
     return TRUE;
-  peer->echo_us = sent_us;
-  peer->digest = digest;
-  if (echo_us > peer->last_heartbeat_us)
-    echo_us = 0;
-  accepts_proofs = tou_authority_accepts_peer_proofs (
-      peers->proxy->n_nodes,
-      1 + tou_peers_count_reporting (peers, peer->last_heartbeat_us),
-      peer->last_heartbeat_us
-          - MIN (peers->proxy->store_answered_us, peer->last_heartbeat_us));
+  echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
+  if (!peers_on_panel (peers, &fields[9])
+      || !peers_on_summary (peers, peer, &fields[10], echo_us))
+    return FALSE;
+  accepts_proofs = peers_accepts_proofs (peers, peer, header.flags);
   peer_clear_reports (peer);
-  for (guint i = 0; i < fields[6].via.array.size; i++)
-    if (!peers_on_group (peers, peer, &fields[6].via.array.ptr[i], echo_us,
+  for (guint i = 0; i < groups->via.array.size; i++)
+    if (!peers_on_group (peers, peer, &groups->via.array.ptr[i], echo_us,
                          accepts_proofs))
       return FALSE;
-  if (digest != 0 && digest == tou_peers_digest (peers->proxy))
+  if (header.digest != 0 && header.digest == tou_peers_digest (peers->proxy)
+      && (accepts_proofs || !tou_peers_have_panel (peers->proxy)))
     peers_on_same_records (peers, peer, accepts_proofs ? echo_us : 0);
+  if ((header.flags & PEERS_WANTS_REPLY) != 0 && peers_answers (peers, peer))
+    peers_send (peers, peer, 0,
+                (header.flags & PEERS_WANTS_DETAILS) != 0 ? PEERS_POSITIONS
+                                                          : PEERS_STATE,
+                peer->last_heartbeat_us);
   return TRUE;
 }
 
@@ -476,22 +786,11 @@
   msgpack_unpacked_destroy (&unpacked);
 }
 
-/* Who needs heartbeats at the short interval. Steps of a change of primary and
-   proofs of a new record wait for them. */
-typedef enum
-{
-  PEERS_REGULAR,
-  PEERS_TO_LEADER, /* only the leader waits */
-  PEERS_TO_ALL
-} PeersUrgency;
-
-static PeersUrgency
-peers_urgency (const TouProxy *proxy, guint64 now_us)
+/* TRUE while steps of a change of primary or proofs of a new record wait for
+   heartbeats. */
+static gboolean
+peers_is_urgent (const TouProxy *proxy, guint64 now_us)
 {
-  gboolean many = proxy->n_nodes > PEERS_MANY_NODES;
-  guint64 urgent_us
-      = many ? PEERS_MANY_URGENT_PERIOD_US : PEERS_URGENT_PERIOD_US;
-  PeersUrgency urgency = PEERS_REGULAR;
   GHashTableIter iter;
   gpointer value;
 
@@ -500,70 +799,339 @@
     {
       const TouGroup *group = value;
 
-      if (now_us < group->adopted_us + urgent_us)
-        return PEERS_TO_ALL;
-      if (!tou_authority_record (group->authority)->moving)
-        continue;
-      if (!many || tou_name_equal (&proxy->leader, &proxy->settings.node))
-        return PEERS_TO_ALL;
-      /* Without a leader, no node waits. */
-      if (proxy->leader.len > 0)
-        urgency = PEERS_TO_LEADER;
+      if (tou_authority_record (group->authority)->moving
+          || now_us < group->adopted_us + PEERS_URGENT_PERIOD_US)
+        return TRUE;
     }
-  return urgency;
+  return FALSE;
 }
 
 static void
 peers_send_all (TouPeers *peers, guint64 now_us)
 {
-  guint64 digest = tou_peers_digest (peers->proxy);
   GHashTableIter iter;
   gpointer value;
 
-  peers->sent_all_us = now_us;
-  peers->sent_leader_us = now_us;
-  peers->jitter_us = (guint64)g_random_int_range (
-      0, (gint32)(tou_peers_interval_us (peers->proxy) / PEERS_JITTER_DIVISOR));
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    peers_send (peers, value, digest, now_us);
+    peers_send (peers, value, 0, PEERS_RECORDS, now_us);
+}
+
+gboolean
+tou_peers_have_panel (const TouProxy *proxy)
+{
+  return proxy->panel.revision != 0 || proxy->n_nodes > TOU_PANEL_MIN_NODES;
 }
 
 guint64
 tou_peers_interval_us (const TouProxy *proxy)
 {
-  return proxy->n_nodes > PEERS_MANY_NODES ? PEERS_MANY_INTERVAL_US
-                                           : PEERS_INTERVAL_US;
+  return tou_peers_have_panel (proxy) ? PEERS_PANEL_INTERVAL_US
+                                      : PEERS_INTERVAL_US;
 }
 
-void
-tou_peers_tick (TouPeers *peers, guint64 now_us)
+static guint64
+peers_jitter_us (const TouProxy *proxy)
+{
+  return (guint64)g_random_int_range (
+      0, (gint32)(tou_peers_interval_us (proxy) / PEERS_JITTER_DIVISOR));
+}
+
+/* Exchanges heartbeats between few nodes. */
+static void
+peers_tick_mesh (TouPeers *peers, guint64 now_us)
 {
   TouProxy *proxy = peers->proxy;
-  guint64 interval_us = tou_peers_interval_us (proxy);
-  PeersUrgency urgency = peers_urgency (proxy, now_us);
-  const Peer *leader;
+  guint64 interval_us = peers_is_urgent (proxy, now_us)
+                            ? PEERS_URGENT_INTERVAL_US
+                            : PEERS_INTERVAL_US + peers->jitter_us;
 
-  interval_us += peers->jitter_us;
+  /* Records that change within this interval are sent together. */
+  if (proxy->record_changed)
+    interval_us = PEERS_URGENT_INTERVAL_US;
+  if (now_us < peers->sent_all_us + interval_us)
+    return;
+  proxy->record_changed = FALSE;
+  peers->sent_all_us = now_us;
+  peers->jitter_us = peers_jitter_us (proxy);
+  peers_send_all (peers, now_us);
+}
+
+/* Returns the member of the panel that answers fastest, or NULL. */
+static const Peer *
+peers_nearest_member (const TouPeers *peers, guint64 now_us)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+  const Peer *best = NULL;
 
-  if (urgency == PEERS_TO_ALL)
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+
+      if (peer != NULL && now_us < peer->echoed_us + PEERS_REPORTING_US
+          && (best == NULL || peer->rtt_us < best->rtt_us))
+        best = peer;
+    }
+  return best;
+}
+
+/* Sends a heartbeat to the panel and the leader. Members get records and
+   positions from all other members, other nodes from the nearest one. */
+static void
+peers_send_panel (TouPeers *peers, guint64 now_us)
+{
+  const TouProxy *proxy = peers->proxy;
+  const TouPanel *panel = &proxy->panel;
+  gboolean is_member = tou_panel_contains (panel, &proxy->settings.node);
+  const Peer *nearest = peers_nearest_member (peers, now_us);
+  const Peer *leader = g_hash_table_lookup (peers->nodes, &proxy->leader);
+
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+      guint64 flags = PEERS_WANTS_REPLY;
+
+      if (peer == NULL)
+        continue;
+      if (is_member || peer == nearest || nearest == NULL)
+        flags |= PEERS_WANTS_DETAILS;
+      peers_send (peers, peer, flags, is_member ? PEERS_RECORDS : PEERS_STATE,
+                  now_us);
+    }
+  if (leader != NULL && !tou_panel_contains (panel, &leader->node))
+    peers_send (peers, leader, PEERS_WANTS_REPLY, PEERS_STATE, now_us);
+}
+
+/* Hash of what the leader waits for: suspicions and acknowledgements. */
+static guint64
+peers_state (const TouProxy *proxy, gboolean *moving, gboolean *unproved,
+             guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint64 state = 0;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouGroup *group = value;
+      const TouGroupRecord *record = tou_authority_record (group->authority);
+      const TouEndpoint *primary = tou_group_recorded_primary (group);
+      guint64 bits = primary != NULL && tou_endpoint_is_suspect (primary);
+
+      if (record->moving)
+        {
+          *moving = TRUE;
+          bits |= tou_group_is_quiesced (group, now_us) ? 2 : 0;
+        }
+      else if (record->revision != 0
+               && now_us < group->adopted_us + PEERS_URGENT_PERIOD_US
+               && !tou_proxy_has_proof (proxy, group, now_us))
+        *unproved = TRUE;
+      if (bits != 0)
+        state += peers_mix (tou_name_hash (&group->name) ^ bits << 32);
+    }
+  return state;
+}
+
+/* Returns TRUE if a heartbeat of @a peer has been missing for @a limit_us. A
+   new member of the panel has not received heartbeats from all nodes yet. */
+static gboolean
+peers_misses (const TouPeers *peers, const Peer *peer, guint64 limit_us,
+              guint64 now_us)
+{
+  return now_us
+         >= MAX (peer->last_heartbeat_us, peers->member_since_us) + limit_us;
+}
+
+/* Updates what this node tells all nodes alike. */
+static void
+peers_update_summary (TouPeers *peers, guint64 now_us)
+{
+  TouProxy *proxy = peers->proxy;
+  gboolean is_member
+      = tou_panel_contains (&proxy->panel, &proxy->settings.node);
+  guint n_reporting = 1;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < peers->summary_us + PEERS_SUMMARY_INTERVAL_US)
+    return;
+  peers->summary_us = now_us;
+  g_array_set_size (peers->silent, 0);
+  peers->vouches = FALSE;
+  if (!is_member)
+    return;
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Peer *peer = value;
+      PeerSilent silent
+          = { tou_name_hash (&peer->node),
+              peers_misses (peers, peer, PEERS_EXPIRED_US, now_us) };
+
+      /* A node that does not receive this one's answers may follow another
+         leader. */
+      n_reporting += now_us < peer->echoed_us + PEERS_ALIVE_US;
+      if (peers_misses (peers, peer, PEERS_ALIVE_US, now_us)
+          && peers->silent->len < PEERS_MAX_SILENT)
+        g_array_append_val (peers->silent, silent);
+    }
+  peers->vouches = tou_authority_accepts_peer_proofs (
+      proxy->n_nodes, n_reporting,
+      now_us - MIN (proxy->store_answered_us, now_us));
+}
+
+/* Exchanges heartbeats with the panel. */
+static void
+peers_tick_panel (TouPeers *peers, guint64 now_us)
+{
+  TouProxy *proxy = peers->proxy;
+  gboolean is_leader = tou_name_equal (&proxy->leader, &proxy->settings.node);
+  gboolean moving = FALSE;
+  gboolean unproved = FALSE;
+  guint64 state = peers_state (proxy, &moving, &unproved, now_us);
+  guint64 interval_us = PEERS_PANEL_INTERVAL_US + peers->jitter_us;
+  const Peer *leader;
+
+  peers_update_summary (peers, now_us);
+  if (unproved)
+    interval_us = PEERS_REPEAT_INTERVAL_US;
+  if (proxy->record_changed)
     interval_us = PEERS_URGENT_INTERVAL_US;
-  /* Records that change within this interval are sent together. */
-  if ((proxy->record_changed
-       && now_us >= peers->sent_all_us + PEERS_URGENT_INTERVAL_US)
-      || now_us >= peers->sent_all_us + interval_us)
+  if (now_us >= peers->sent_all_us + interval_us)
     {
+      if (proxy->record_changed && is_leader)
+        peers_send_all (peers, now_us);
       proxy->record_changed = FALSE;
-      peers_send_all (peers, now_us);
+      peers->sent_all_us = now_us;
+      peers->sent_leader_us = now_us;
+      peers->sent_state = state;
+      peers->jitter_us = peers_jitter_us (proxy);
+      peers_send_panel (peers, now_us);
       return;
     }
-  if (urgency != PEERS_TO_LEADER
-      || now_us < peers->sent_leader_us + PEERS_URGENT_INTERVAL_US)
+  if (state == peers->sent_state
+      && (!moving || now_us < peers->sent_leader_us + PEERS_REPEAT_INTERVAL_US))
     return;
+  peers->sent_state = state;
   peers->sent_leader_us = now_us;
   leader = g_hash_table_lookup (peers->nodes, &proxy->leader);
   if (leader != NULL)
-    peers_send (peers, leader, tou_peers_digest (proxy), now_us);
+    peers_send (peers, leader, 0, PEERS_STATE, now_us);
+}
+
+void
+tou_peers_tick (TouPeers *peers, guint64 now_us)
+{
+  if (tou_peers_have_panel (peers->proxy))
+    peers_tick_panel (peers, now_us);
+  else
+    peers_tick_mesh (peers, now_us);
+}
+
+void
+tou_peers_adopt_panel (TouPeers *peers, const TouPanel *panel)
+{
+  TouProxy *proxy = peers->proxy;
+  guint64 now_us = tou_clock_us ();
+  GHashTableIter iter;
+  gpointer value;
+
+  if (panel->revision <= proxy->panel.revision)
+    return;
+  if (tou_panel_contains (panel, &proxy->settings.node)
+      && !tou_panel_contains (&proxy->panel, &proxy->settings.node))
+    peers->member_since_us = now_us;
+  proxy->panel = *panel;
+  proxy->panel_adopted_us = now_us;
+  proxy->record_changed = TRUE;
+  peers->summary_us = 0;
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tou_authority_set_voters (((TouGroup *)value)->authority, panel->members,
+                              panel->n_members);
+  tou_evlog (TOU_EVLOG_STATE, "panel",
+             "\"revision\":%" G_GUINT64_FORMAT ",\"members\":%u,"
+             "\"joint\":%s,\"member\":%s",
+             panel->revision, panel->n_members, panel->joint ? "true" : "false",
+             tou_panel_contains (panel, &proxy->settings.node) ? "true"
+                                                               : "false");
+}
+
+static gboolean
+peers_has_acked (const TouPeers *peers, const TouName *node,
+                 const TouGroup *group)
+{
+  const TouProxy *proxy = peers->proxy;
+  const Peer *peer;
+  const PeerReport *report;
+
+  if (tou_name_equal (node, &proxy->settings.node))
+    return TRUE;
+  peer = g_hash_table_lookup (peers->nodes, node);
+  if (peer == NULL)
+    return FALSE;
+  if (group == NULL)
+    return peer->panel_revision == proxy->panel.revision;
+  if (peer->digest != 0 && peer->digest == tou_peers_digest (proxy))
+    return TRUE;
+  report = g_hash_table_lookup (peer->groups, &group->name);
+  return report != NULL
+         && report->revision
+                == tou_authority_record (group->authority)->revision;
+}
+
+void
+tou_peers_count_votes (TouPanelVotes *out, const TouPeers *peers,
+                       const TouGroup *group)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+  GHashTableIter iter;
+  gpointer key;
+
+  memset (out, 0, sizeof *out);
+  for (guint i = 0; i < panel->n_members; i++)
+    out->n_members += peers_has_acked (peers, &panel->members[i], group);
+  for (guint i = 0; i < panel->n_previous; i++)
+    out->n_previous += peers_has_acked (peers, &panel->previous[i], group);
+  if (panel->n_previous > 0)
+    return;
+  out->n_previous = 1;
+  g_hash_table_iter_init (&iter, peers->nodes);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    out->n_previous += peers_has_acked (peers, key, group);
+}
+
+guint64
+tou_peers_newest_store_revision (const TouPeers *peers)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+  guint64 newest = 0;
+
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+
+      if (peer != NULL)
+        newest = MAX (newest, peer->store_revision);
+    }
+  return newest;
+}
+
+gboolean
+tou_peers_reach_panel (const TouPeers *peers, guint64 now_us)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+  guint count = tou_panel_contains (panel, &peers->proxy->settings.node);
+
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+
+      count += peer != NULL && now_us < peer->echoed_us + PEERS_REPORTING_US;
+    }
+  return panel->revision != 0 && count * 2 > panel->n_members;
 }
 
 guint
@@ -622,6 +1190,47 @@
   return count;
 }
 
+/* Counts in how many of the members' lists each silent node is. @return number
+   of members that sent one recently */
+static guint
+peers_count_silent (const TouPeers *peers, GHashTable *silent,
+                    GHashTable *expired, guint64 now_us)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+  guint n_members = 0;
+
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+
+      if (peer == NULL || now_us >= peer->echoed_us + PEERS_ALIVE_US)
+        continue;
+      n_members++;
+      for (guint j = 0; j < peer->silent->len; j++)
+        {
+          const PeerSilent *node = &g_array_index (peer->silent, PeerSilent, j);
+          gpointer key = GUINT_TO_POINTER (node->hash);
+          guint count = GPOINTER_TO_UINT (g_hash_table_lookup (silent, key));
+
+          g_hash_table_insert (silent, key, GUINT_TO_POINTER (count + 1));
+          count = GPOINTER_TO_UINT (g_hash_table_lookup (expired, key));
+          if (node->expired)
+            g_hash_table_insert (expired, key, GUINT_TO_POINTER (count + 1));
+        }
+    }
+  return n_members;
+}
+
+static gboolean
+peers_majority_misses (GHashTable *counts, const Peer *peer, guint n_members)
+{
+  gpointer key = GUINT_TO_POINTER (tou_name_hash (&peer->node));
+
+  return n_members > 0
+         && GPOINTER_TO_UINT (g_hash_table_lookup (counts, key)) * 2
+                > n_members;
+}
+
 GArray *
 tou_peers_nodes (const TouPeers *peers, guint64 now_us)
 {
@@ -629,6 +1238,13 @@
   GArray *nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
   TouGatewayNode node = { proxy->settings.node, proxy->settings.failure_domain,
                           TRUE, FALSE, FALSE };
+  /* Nodes outside the panel receive heartbeats from the panel only. */
+  gboolean hears_all
+      = proxy->panel.revision == 0
+        || tou_panel_contains (&proxy->panel, &proxy->settings.node);
+  GHashTable *silent = g_hash_table_new (NULL, NULL);
+  GHashTable *expired = g_hash_table_new (NULL, NULL);
+  guint n_members = peers_count_silent (peers, silent, expired, now_us);
   GHashTableIter iter;
   gpointer value;
 
@@ -640,10 +1256,20 @@
 
       node.node = peer->node;
       node.failure_domain = peer->failure_domain;
-      node.alive = now_us < peer->last_heartbeat_us + PEERS_ALIVE_US;
-      node.expired = now_us >= peer->last_heartbeat_us + PEERS_EXPIRED_US;
+      if (hears_all)
+        {
+          node.alive = !peers_misses (peers, peer, PEERS_ALIVE_US, now_us);
+          node.expired = peers_misses (peers, peer, PEERS_EXPIRED_US, now_us);
+        }
+      else
+        {
+          node.alive = !peers_majority_misses (silent, peer, n_members);
+          node.expired = peers_majority_misses (expired, peer, n_members);
+        }
       g_array_append_val (nodes, node);
     }
+  g_hash_table_destroy (silent);
+  g_hash_table_destroy (expired);
   return nodes;
 }
 
@@ -690,6 +1316,7 @@
   peers->proxy = proxy;
   peers->nodes = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                         NULL, peer_free);
+  peers->silent = g_array_new (FALSE, FALSE, sizeof (PeerSilent));
   uv_udp_init (proxy->loop, &peers->udp);
   peers->udp.data = peers;
   if (status == TOU_OK)
@@ -722,6 +1349,7 @@
   if (peers == NULL)
     return;
   g_hash_table_destroy (peers->nodes);
+  g_array_unref (peers->silent);
   uv_close ((uv_handle_t *)&peers->udp, peers_on_closed);
 }
 
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -7,6 +7,7 @@
 
 #include "gateway.h"
 #include "link.h"
+#include "panel.h"
 
 G_BEGIN_DECLS
 
@@ -40,6 +41,25 @@
  */
 guint64 tou_peers_digest (const TouProxy *proxy);
 
+/** TRUE if the panel proves records; else all nodes do. */
+gboolean tou_peers_have_panel (const TouProxy *proxy);
+
+/** Adopts @a panel if it is newer than the current one. */
+void tou_peers_adopt_panel (TouPeers *peers, const TouPanel *panel);
+
+/**
+ * Counts the voters that have this node's record of @a group; NULL: that have
+ * this node's panel.
+ */
+void tou_peers_count_votes (TouPanelVotes *out, const TouPeers *peers,
+                            const TouGroup *group);
+
+/** Returns the newest store revision that a member of the panel has applied. */
+guint64 tou_peers_newest_store_revision (const TouPeers *peers);
+
+/** TRUE if a majority of the panel answers. */
+gboolean tou_peers_reach_panel (const TouPeers *peers, guint64 now_us);
+
 /** Sends the heartbeats that are due. */
 void tou_peers_tick (TouPeers *peers, guint64 now_us);
 
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -23,6 +23,12 @@
 /* The primary's position is requested if no answer has contained it for this
    long; reads on replicas need one that is at most a few hundred ms old. */
 #define PROXY_SAMPLE_US (600 * TOU_US_PER_MS)
+/* With a panel, one of its members requests the position and the others if none
+   has arrived for another interval; all nodes get it with their heartbeats. A
+   node that gets none requests it before reads of 1.5 s wait for it. */
+#define PROXY_MEMBER_SAMPLE_US (450 * TOU_US_PER_MS)
+#define PROXY_MEMBER_SPACING_US (250 * TOU_US_PER_MS)
+#define PROXY_OUTSIDE_SAMPLE_US (1250 * TOU_US_PER_MS)
 /* Time for open transactions to end on a primary that is being replaced. */
 #define PROXY_TXN_FINISH_US (300 * TOU_US_PER_MS)
 /* The platform sends no new connections after two failed health checks, 1 s
@@ -107,12 +113,27 @@
   return NULL;
 }
 
+guint
+tou_proxy_required_proofs (const TouProxy *proxy)
+{
+  return tou_panel_required (&proxy->panel, &proxy->settings.node,
+                             proxy->n_nodes);
+}
+
+gboolean
+tou_proxy_has_proof (const TouProxy *proxy, const TouGroup *group,
+                     guint64 now_us)
+{
+  return tou_authority_is_valid (group->authority,
+                                 tou_proxy_required_proofs (proxy), now_us);
+}
+
 TouEndpoint *
 tou_group_primary (TouGroup *group, guint64 now_us)
 {
   TouEndpoint *primary;
 
-  if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
+  if (!tou_proxy_has_proof (group->proxy, group, now_us))
     return NULL;
   primary = tou_group_recorded_primary (group);
   if (primary == NULL || primary->lost_log
@@ -175,8 +196,9 @@
   TouName old_primary = current->primary;
 
   if (was_usable)
-    valid_until_us = tou_authority_proved_us (group->authority,
-                                              group->proxy->n_nodes, now_us)
+    valid_until_us = tou_authority_proved_us (
+                         group->authority,
+                         tou_proxy_required_proofs (group->proxy), now_us)
                      + TOU_AUTHORITY_VALID_US;
   if (!tou_authority_adopt (group->authority, record))
     return;
@@ -217,7 +239,7 @@
   if (now_us
       < MAX (group->no_primary_since_us, group->adopted_us) + PROXY_PROOF_US)
     return NULL;
-  if (!tou_authority_is_valid (group->authority, group->proxy->n_nodes, now_us))
+  if (!tou_proxy_has_proof (group->proxy, group, now_us))
     return "this node is cut off; retry at another one";
   primary = tou_group_recorded_primary (group);
   if (primary != NULL && tou_endpoint_has_failed (primary)
@@ -384,12 +406,31 @@
   g_free (proxy);
 }
 
+/* Returns the age of the newest position at which this node requests one. */
+static guint64
+group_sample_us (const TouGroup *group)
+{
+  const TouProxy *proxy = group->proxy;
+  const TouPanel *panel = &proxy->panel;
+  guint order = tou_name_hash (&group->name);
+
+  if (panel->revision == 0)
+    return PROXY_SAMPLE_US;
+  for (guint i = 0; i < panel->n_members; i++)
+    if (tou_name_equal (&panel->members[(i + order) % panel->n_members],
+                        &proxy->settings.node))
+      return PROXY_MEMBER_SAMPLE_US + i * PROXY_MEMBER_SPACING_US;
+  return PROXY_OUTSIDE_SAMPLE_US;
+}
+
 /* Requests the primary's position if the newest one is too old for reads on
    replicas. */
 static void
 group_refresh_position (TouGroup *group, TouEndpoint *primary, guint64 now_us)
 {
-  if (now_us < tou_freshness_newest_us (group->freshness) + PROXY_SAMPLE_US
+  guint64 sample_us = group_sample_us (group);
+
+  if (now_us < tou_freshness_newest_us (group->freshness) + sample_us
       || now_us < primary->status_queried_us + PROXY_SAMPLE_US)
     return;
   tou_endpoint_query_status (primary, now_us);
@@ -442,8 +483,9 @@
                  group->name.data,
                  tou_authority_record (group->authority)->primary.data,
                  (now_us
-                  - tou_authority_proved_us (group->authority,
-                                             group->proxy->n_nodes, now_us))
+                  - tou_authority_proved_us (
+                      group->authority,
+                      tou_proxy_required_proofs (group->proxy), now_us))
                      / TOU_US_PER_MS);
     }
   tou_dispatch_group (group);
@@ -474,8 +516,7 @@
         continue;
       has_record = TRUE;
       isolated = isolated && !record->moving
-                 && !tou_authority_is_valid (group->authority, proxy->n_nodes,
-                                             now_us);
+                 && !tou_proxy_has_proof (proxy, group, now_us);
     }
   isolated = isolated && has_record;
   if (isolated == (proxy->isolated_since_us != 0))
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -11,6 +11,7 @@
 #include "clock.h"
 #include "evlog.h"
 #include "freshness.h"
+#include "panel.h"
 #include "queue.h"
 #include "sql.h"
 
@@ -91,10 +92,14 @@
   guint64 link_hold_until_us; /**< first start: no new links before */
   TouName leader;             /**< empty: there is none */
   guint n_nodes;              /**< registered nodes, this one included */
+  TouPanel panel;             /**< nodes that prove records */
+  guint64 panel_adopted_us;   /**< when the panel was adopted */
+  guint64 store_revision;     /**< last one of the store that was applied */
   guint64 isolated_since_us;  /**< since when no primary is valid; 0: one is */
   guint64 store_answered_us;  /**< last response of the store */
   gboolean synced;            /**< the store has been read since the start */
   gboolean draining;          /**< the stop signal has been received */
+  gboolean deregistered;      /**< its registration is being removed */
   guint64 drain_us;           /**< when it was received */
   guint64 end_txns_us;        /**< draining: idle transactions are ended then */
   guint64 totals_logged_us;   /**< last log line with the counters */
@@ -134,6 +139,13 @@
 /** Adapts the queues to the slots of the group's endpoints. */
 void tou_group_configure (TouGroup *group);
 
+/** Number of other nodes whose answers prove a record; 0: they cannot. */
+guint tou_proxy_required_proofs (const TouProxy *proxy);
+
+/** TRUE if the group's record is proved and its primary not being replaced. */
+gboolean tou_proxy_has_proof (const TouProxy *proxy, const TouGroup *group,
+                              guint64 now_us);
+
 /** Returns the group's primary if this node may use it, else NULL. */
 TouEndpoint *tou_group_primary (TouGroup *group, guint64 now_us);
 
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -1,9 +1,11 @@
 #include "session-script.h"
 
 #include "authority.h"
+#include "follow.h"
 #include "freshness.h"
 #include "gateway.h"
 #include "handover.h"
+#include "panel.h"
 #include "values.h"
 #include "window.h"
 
@@ -29,6 +31,9 @@
   TouHandover *handover;
   TouHandoverView view;
   GArray *nodes; /* of TouGatewayNode */
+  TouPanel panel;
+  TouFollow follow;
+  GArray *watches; /* of TouWatch */
 } Script;
 
 typedef struct
@@ -296,7 +301,7 @@
   else if (arg_is (command, 0, "valid"))
     put_yes_no (script, command->rest,
                 tou_authority_is_valid (script->authority,
-                                        (guint)arg_number (command, 1),
+                                        (guint)arg_number (command, 1) / 2,
                                         arg_us (command, 2)));
   else if (arg_is (command, 0, "may-remove"))
     put_yes_no (script, command->rest,
@@ -473,6 +478,121 @@
   return TRUE;
 }
 
+/* Sets the panel: REVISION joint|settled MEMBERS [PREVIOUS], lists with commas,
+   "all" for a panel that follows none. */
+static void
+set_panel (Script *script, const Command *command)
+{
+  TouPanel *panel = &script->panel;
+  char **members = g_strsplit (arg (command, 3), ",", TOU_PANEL_SIZE);
+  char **previous = g_strsplit (arg (command, 4), ",", TOU_PANEL_SIZE);
+
+  memset (panel, 0, sizeof *panel);
+  panel->revision = arg_number (command, 1);
+  panel->joint = arg_is (command, 2, "joint");
+  for (char **name = members; *name != NULL; name++)
+    panel->members[panel->n_members++] = tou_name (*name);
+  for (char **name = previous; *name != NULL && !arg_is (command, 4, "all");
+       name++)
+    panel->previous[panel->n_previous++] = tou_name (*name);
+  g_strfreev (members);
+  g_strfreev (previous);
+}
+
+static void
+put_panel (Script *script, const TouPanel *panel)
+{
+  char *text = tou_panel_encode (panel);
+
+  g_string_append_printf (script->out, "%s\n", text);
+  free (text);
+}
+
+static gboolean
+run_panel (Script *script, const Command *command)
+{
+  TouPanelVotes votes
+      = { (guint)arg_number (command, 1), (guint)arg_number (command, 2) };
+  TouGatewayNode *node = find_node (script, arg (command, 1));
+  TouStr value = { (char *)command->rest, strlen (command->rest) };
+  TouName name = tou_name (arg (command, 1));
+  TouPanel panel;
+
+  if (arg_is (command, 0, "panel"))
+    set_panel (script, command);
+  else if (arg_is (command, 0, "proofs-required"))
+    g_string_append_printf (
+        script->out, "%u others\n",
+        tou_panel_required (&script->panel, &name,
+                            (guint)arg_number (command, 2)));
+  else if (arg_is (command, 0, "votes"))
+    put_yes_no (script, command->rest,
+                tou_panel_has_majority (&script->panel, &votes,
+                                        (guint)arg_number (command, 3)));
+  else if (arg_is (command, 0, "choose-panel"))
+    {
+      if (tou_panel_choose (&panel, &script->panel,
+                            (const void *)script->nodes->data,
+                            script->nodes->len))
+        put_panel (script, &panel);
+      else
+        g_string_append (script->out, "unchanged\n");
+    }
+  else if (arg_is (command, 0, "decode-panel"))
+    {
+      if (tou_panel_decode (&panel, &value) == TOU_OK)
+        put_panel (script, &panel);
+      else
+        g_string_append_printf (script->out, "%s\n", tou_status_message ());
+    }
+  else if (arg_is (command, 0, "node-expired") && node != NULL)
+    node->alive = !(node->expired = TRUE);
+  else if (arg_is (command, 0, "node-gone") && node != NULL)
+    g_array_remove_index (
+        script->nodes,
+        (guint)(node - (TouGatewayNode *)(void *)script->nodes->data));
+  else
+    return FALSE;
+  return TRUE;
+}
+
+static gboolean
+run_follow (Script *script, const Command *command)
+{
+  TouFollow *follow = &script->follow;
+
+  if (arg_is (command, 0, "watch"))
+    {
+      TouWatch watch = tou_follow_start (follow, arg_us (command, 1));
+
+      g_array_append_val (script->watches, watch);
+      g_string_append_printf (script->out,
+                              "watch %u after %" G_GUINT64_FORMAT "\n",
+                              watch.id, watch.after);
+    }
+  else if (arg_is (command, 0, "check-watch"))
+    {
+      tou_follow_check (follow, arg_number (command, 1),
+                        arg_is (command, 2, "reached"), arg_us (command, 3),
+                        arg_us (command, 4));
+      g_string_append_printf (script->out, "awaits %u\n", follow->awaited);
+    }
+  else if (arg_is (command, 0, "returned"))
+    {
+      guint i = (guint)arg_number (command, 1) - 1;
+      gboolean succeeded = arg_is (command, 2, "with");
+      gboolean handled = tou_follow_returned (
+          follow, g_array_index (script->watches, TouWatch, i), succeeded);
+
+      if (handled && succeeded)
+        tou_follow_applied (follow, arg_number (command, 3));
+      put_yes_no (script, "handled", handled);
+    }
+  else
+    return FALSE;
+  return TRUE;
+}
+
 static gboolean
 run_window (Script *script, const Command *command)
 {
@@ -582,7 +702,12 @@
       view->primary_draining = arg_is (command, 5, "draining");
       view->primary_registered = !arg_is (command, 5, "unregistered");
       view->n_observing = (guint)arg_number (command, 6);
+      view->majority_has_record = view->n_quiesced * 2 > view->n_nodes;
     }
+  else if (arg_is (command, 0, "majority"))
+    view->majority_has_record = arg_is (command, 1, "yes");
+  else if (arg_is (command, 0, "uncertain"))
+    view->nodes_uncertain = arg_is (command, 1, "yes");
   else if (arg_is (command, 0, "step"))
     {
       tou_handover_step (script->handover, view, arg_us (command, 1), &action);
@@ -614,6 +739,7 @@
   if (!run_decoder (script, &command) && !run_authority (script, &command)
       && !run_freshness_and_values (script, &command)
       && !run_window (script, &command) && !run_gateway (script, &command)
+      && !run_panel (script, &command) && !run_follow (script, &command)
       && !run_handover (script, &command))
     g_string_append_printf (script->out, "unknown command: %s\n", line);
   g_strfreev (words);
@@ -630,6 +756,8 @@
   tou_authority_create (&script.authority);
   tou_freshness_create (&script.freshness);
   script.nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
+  script.watches = g_array_new (FALSE, FALSE, sizeof (TouWatch));
+  tou_follow_init (&script.follow);
   tou_handover_create (&script.handover);
   tou_values_init (&script.current);
   tou_values_init (&script.target);
@@ -639,6 +767,7 @@
   tou_authority_destroy (script.authority);
   tou_freshness_destroy (script.freshness);
   g_array_unref (script.nodes);
+  g_array_unref (script.watches);
   tou_handover_destroy (script.handover);
   tou_values_clear (&script.current);
   tou_values_clear (&script.target);
