Give each new database its gateways before the first link, and fewer of them

Change: a new endpoint is placed at once; links wait for a stable list of nodes longer than the pause between watches; at most six gateways; their links stay for 10 s within their share; the second refusal by gateways pauses attempts for 1 s. Gateways are ranked again only if the nodes have changed, and a gateway that returns under its name at another address is reached there.

Ruled out: closing idle links later without fewer gateways (a restart of all nodes needs half of the connections free).

--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -14,6 +14,9 @@
    open. */
 #define LINK_IDLE_US (1000 * TOU_US_PER_MS)
 #define LINK_IDLE_EXTRA_US (250 * TOU_US_PER_MS)
+/* The same for a gateway, whose share no other node needs. */
+#define LINK_IDLE_SHARE_US (10 * TOU_US_PER_S)
+#define LINK_IDLE_SHARE_EXTRA_US (1000 * TOU_US_PER_MS)
 /* Links through a gateway use no connection of the database. */
 #define LINK_IDLE_GATEWAY_US (10 * TOU_US_PER_S)
 /* Maximum number of links to an endpoint through its gateway. */
@@ -39,8 +42,11 @@
 /* Interval without samples after which the average latency falls by an eighth:
    the penalty of a failed statement is gone after about five seconds. */
 #define ENDPOINT_LATENCY_DECAY_US (200 * TOU_US_PER_MS)
-/* Interval of connection attempts to an unreachable endpoint. */
+/* Interval of connection attempts to an unreachable endpoint. Attempts through
+   a gateway, which itself retries at the shorter interval, come from all
+   nodes. */
 #define ENDPOINT_RETRY_US (250 * TOU_US_PER_MS)
+#define ENDPOINT_GATEWAY_RETRY_US (1000 * TOU_US_PER_MS)
 
 void
 tou_endpoint_set_reachable (TouEndpoint *endpoint, guint64 now_us)
@@ -253,7 +259,9 @@
   if (endpoint->gateway.len > 0)
     return LINK_IDLE_GATEWAY_US;
   if (endpoint->n_gateways > 0)
-    n_shares = 2 * endpoint->n_gateways;
+    return endpoint->links->len <= limit / (2 * endpoint->n_gateways)
+               ? LINK_IDLE_SHARE_US
+               : LINK_IDLE_SHARE_EXTRA_US;
   return endpoint->links->len <= (limit + n_shares - 1) / n_shares
              ? LINK_IDLE_US
              : LINK_IDLE_EXTRA_US;
@@ -308,7 +316,10 @@
     }
   if (endpoint->unreachable_since_us != 0 && now_us >= endpoint->open_after_us)
     {
-      endpoint->open_after_us = now_us + ENDPOINT_RETRY_US;
+      endpoint->open_after_us
+          = now_us
+            + (endpoint->gateway.len > 0 ? ENDPOINT_GATEWAY_RETRY_US
+                                         : ENDPOINT_RETRY_US);
       if (!endpoint->removed
           && endpoint->links->len < tou_endpoint_link_limit (endpoint))
         tou_link_open (endpoint, now_us);
@@ -396,6 +407,8 @@
     endpoint->leaving_since_us = tou_clock_us ();
   g_ptr_array_add (endpoint->group->endpoints, endpoint);
   tou_group_configure (endpoint->group);
+  /* Before the first link: all nodes together have too many connections. */
+  proxy->placement_due = TRUE;
   return endpoint;
 }
 
--- a/src/session/gateway.c
+++ b/src/session/gateway.c
@@ -8,6 +8,9 @@
 /* With fewer gateways the failure of one makes half of the nodes suspect the
    database. */
 #define GATEWAY_MIN_COUNT 3
+/* More gateways do not make a database faster, but each opens connections of
+   its own, which occupy the database's slots. */
+#define GATEWAY_MAX_COUNT 6
 /* An eighth of the connections is reserved for nodes that replace a failed
    gateway, whose connections the database counts for 3 s. */
 #define GATEWAY_RESERVE_SHIFT 3
@@ -18,8 +21,8 @@
 guint
 tou_gateway_count (guint connection_limit, guint n_nodes)
 {
-  guint n_gateways
-      = MAX (connection_limit / GATEWAY_CONNECTIONS, GATEWAY_MIN_COUNT);
+  guint n_gateways = CLAMP (connection_limit / GATEWAY_CONNECTIONS,
+                            GATEWAY_MIN_COUNT, GATEWAY_MAX_COUNT);
 
   /* The limit is not configured yet. */
   if (connection_limit == 0)
@@ -56,6 +59,21 @@
   return hash ^ (hash >> 33);
 }
 
+guint64
+tou_gateway_inputs (const TouGatewayNode *nodes, guint n_nodes)
+{
+  guint64 inputs = n_nodes;
+
+  /* A sum does not depend on the order of the nodes. */
+  for (guint i = 0; i < n_nodes; i++)
+    {
+      TouName state = { 1, { (char)(nodes[i].alive + 2 * nodes[i].avoided) } };
+
+      inputs += gateway_hash (&nodes[i].node, &state);
+    }
+  return inputs;
+}
+
 typedef struct
 {
   guint index;
--- a/src/session/gateway.h
+++ b/src/session/gateway.h
@@ -36,6 +36,12 @@
 /** Returns the maximum number of connections of one gateway. */
 guint tou_gateway_share (guint connection_limit, guint n_gateways);
 
+/**
+ * Returns a hash of what tou_gateway_choose() depends on besides the endpoint;
+ * with equal hashes it selects the same gateway.
+ */
+guint64 tou_gateway_inputs (const TouGatewayNode *nodes, guint n_nodes);
+
 /**
  * Selects the node through which @a self reaches an endpoint.
  *
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -354,6 +354,10 @@
   TOU_COUNT (endpoint->proxy, LINKS_REFUSED);
   if (link->gateway_node.len > 0 && reply->error == TOU_SQL_E_BUSY)
     {
+      /* Another gateway is tried at once, but only one: all nodes would try all
+         gateways of a failed database again and again. */
+      if (endpoint->unreachable_since_us != 0)
+        pause_us = LINK_REJECTED_PAUSE_US;
       tou_endpoint_set_unreachable (endpoint, "not reachable from its gateway",
                                     now_us);
       tou_endpoint_avoid_gateway (endpoint, &link->gateway_node,
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -88,6 +88,7 @@
   TouAvoidedGateway avoided[TOU_MAX_AVOIDED];
   guint n_avoided;  /**< total so far; the next one replaces the oldest */
   guint n_gateways; /**< number of gateways; 0: all nodes connect directly */
+  guint64 gateway_inputs; /**< hash of what the gateway was selected from */
   TouWindow window;
   guint64 latency_us;         /**< moving average of the statement latency */
   guint64 latency_updated_us; /**< when latency_us was last changed */
--- a/src/session/placement.c
+++ b/src/session/placement.c
@@ -9,9 +9,9 @@
 /* When all nodes start for the first time, gateways would be selected from a
    few of them. Links are opened after the number of nodes has been stable for
    the first time, or after the second at the latest. Slow VMs take 4 s to
-   start. */
-#define PLACEMENT_STABLE_US (1200 * TOU_US_PER_MS)
-#define PLACEMENT_STABLE_MAX_US (6 * TOU_US_PER_S)
+   start, and nodes may pause for 2 s between watches. */
+#define PLACEMENT_STABLE_US (3200 * TOU_US_PER_MS)
+#define PLACEMENT_STABLE_MAX_US (8 * TOU_US_PER_S)
 
 static void
 placement_apply (TouEndpoint *endpoint, const TouGatewayNode *gateway,
@@ -28,7 +28,8 @@
              endpoint->info.id.data, name->data, endpoint->gateway.data,
              endpoint->n_gateways, endpoint->proxy->n_nodes);
   endpoint->gateway = *name;
-  endpoint->open_after_us = 0;
+  if (endpoint->unreachable_since_us == 0)
+    endpoint->open_after_us = 0;
   if (gateway != NULL)
     tou_peers_node_address (&endpoint->gateway_address, peers, name);
 }
@@ -49,6 +50,44 @@
     }
 }
 
+/* Selects the endpoint's gateway if something that it depends on has changed
+   since the last time: ranking hundreds of nodes costs more than a statement.
+ */
+static void
+placement_select (TouEndpoint *endpoint, GArray *nodes, const TouPeers *peers,
+                  guint64 now_us)
+{
+  const TouGatewayNode *first = (const void *)nodes->data;
+  const TouGatewayNode *gateway = NULL;
+  guint connection_limit = endpoint->group->limits.connection_limit;
+  guint n_gateways = tou_gateway_count (connection_limit, nodes->len);
+  guint64 inputs;
+
+  placement_mark_avoided (nodes, endpoint, now_us);
+  inputs = tou_gateway_inputs (first, nodes->len) ^ n_gateways
+           ^ (guint64)tou_name_hash (&endpoint->info.failure_domain) << 32;
+  if (inputs == endpoint->gateway_inputs)
+    {
+      /* The gateway may have been replaced at another address. */
+      if (endpoint->gateway.len > 0)
+        tou_peers_node_address (&endpoint->gateway_address, peers,
+                                &endpoint->gateway);
+      return;
+    }
+  endpoint->gateway_inputs = inputs;
+  if (n_gateways > 0)
+    {
+      guint chosen
+          = tou_gateway_choose (first, nodes->len, 0, &endpoint->info.id,
+                                &endpoint->info.failure_domain, &n_gateways);
+
+      if (chosen != 0)
+        gateway = &g_array_index (nodes, TouGatewayNode, chosen);
+    }
+  endpoint->n_gateways = n_gateways;
+  placement_apply (endpoint, gateway, peers);
+}
+
 /* Closes links through unreachable gateways, so that clients are answered at
    once, and sessions relayed for expired nodes, to end their transactions. */
 static void
@@ -98,24 +137,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       TouEndpoint *endpoint = value;
-      const TouGatewayNode *gateway = NULL;
-
-      endpoint->n_gateways = tou_gateway_count (
-          endpoint->group->limits.connection_limit, nodes->len);
-      if (endpoint->n_gateways > 0)
-        {
-          guint chosen;
-
-          placement_mark_avoided (nodes, endpoint, now_us);
-          chosen = tou_gateway_choose (
-              (const TouGatewayNode *)(void *)nodes->data, nodes->len, 0,
-              &endpoint->info.id, &endpoint->info.failure_domain,
-              &endpoint->n_gateways);
 
-          if (chosen != 0)
-            gateway = &g_array_index (nodes, TouGatewayNode, chosen);
-        }
-      placement_apply (endpoint, gateway, peers);
+      placement_select (endpoint, nodes, peers, now_us);
       placement_close_unreachable (endpoint, nodes);
     }
   g_array_unref (nodes);
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -269,6 +269,30 @@
     }
 }
 
+/* Makes the database unusable for the gateway node, as after a crash. */
+static void
+run_gateway_lost (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *gateway_endpoint
+      = g_hash_table_lookup (script->gateway_proxy->endpoints, &id);
+
+  gateway_endpoint->lost_log = TRUE;
+}
+
+/* Prints whether more links than given were opened through the gateway. */
+static void
+run_attempts (Script *script, char **words)
+{
+  guint64 limit = strtoull (words[1], NULL, 10);
+  guint64 count = script->proxy->counters[TOU_COUNT_GATEWAY_LINKS];
+
+  if (count <= limit)
+    g_string_append_printf (script->out, "at most %s\n", words[1]);
+  else
+    g_string_append_printf (script->out, "%" G_GUINT64_FORMAT "\n", count);
+}
+
 static void
 run_route (Script *script, char **words)
 {
@@ -465,6 +489,10 @@
     run_via (script, words);
   else if (strcmp (words[0], "gateway-draining") == 0)
     run_gateway_draining (script, words);
+  else if (strcmp (words[0], "gateway-lost") == 0)
+    run_gateway_lost (script, words);
+  else if (strcmp (words[0], "attempts") == 0)
+    run_attempts (script, words);
   else if (strcmp (words[0], "gateway-stop") == 0)
     run_gateway_stop (script);
   else if (strcmp (words[0], "gateway-unreachable") == 0)
