Advance a new proxy's retry budget by one retry

Change: a new proxy has the share of its first ten requests in advance, so the total stays within 10%: test_retries_stay_in_budget is unchanged and passes.

Test: test_new_proxy_retries_first_write fails without the change. Ruled out: a larger start budget (breaks the bound of 10%), detecting the loss before sending (the kill is younger than any heartbeat).

--- a/src/core/front-internal.h
+++ b/src/core/front-internal.h
@@ -55,6 +55,7 @@
   GHashTable *by_caller;   /**< caller id in the value -> FrontPending */
   GHashTable *by_sequence; /**< sequence of the attempt -> FrontPending */
   guint budget;            /**< retry tokens in tenths */
+  guint n_advanced;        /**< tenths of later requests, already in budget */
   guint64 next_scan_us;
   guint n_avoided;
   FrontAvoided avoided[FRONT_MAX_AVOIDED];
@@ -88,6 +89,8 @@
 
 /* front-retry.c */
 
+/** Sets the retry budget of a new proxy. */
+void front_init_retry_budget (TouFront *front);
 /** Adds the share of one request to the retry budget. */
 void front_credit_retry_budget (TouFront *front);
 
--- a/src/core/front-retry.c
+++ b/src/core/front-retry.c
@@ -1,7 +1,9 @@
 #include "front-internal.h"
 
 /* The budget counts tenths of a retry and each request adds one tenth, so
-   retries increase the load by at most 10% (design 3.10). */
+   retries increase the load by at most 10% (design 3.10). A new proxy has the
+   share of its first requests in advance: without it, a request to a gate that
+   was just lost could not be retried. */
 #define FRONT_RETRY_COST 10
 #define FRONT_MAX_BUDGET (10 * FRONT_RETRY_COST)
 /* Delay before a retry: exponential back-off with jitter. */
@@ -9,9 +11,21 @@
 #define FRONT_MAX_DELAY_US (100 * TOU_US_PER_MS)
 #define FRONT_MAX_DELAY_SHIFT 8
 
+void
+front_init_retry_budget (TouFront *front)
+{
+  front->budget = FRONT_RETRY_COST;
+  front->n_advanced = FRONT_RETRY_COST;
+}
+
 void
 front_credit_retry_budget (TouFront *front)
 {
+  if (front->n_advanced > 0)
+    {
+      front->n_advanced--;
+      return;
+    }
   front->budget = MIN (front->budget + 1, FRONT_MAX_BUDGET);
 }
 
--- a/src/core/front.c
+++ b/src/core/front.c
@@ -14,6 +14,7 @@
   TouFront *front = g_new0 (TouFront, 1);
 
   front->ctx = ctx;
+  front_init_retry_budget (front);
   front->by_caller = g_hash_table_new (g_int64_hash, g_int64_equal);
   front->by_sequence = g_hash_table_new (g_int64_hash, g_int64_equal);
   *out = front;
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -251,6 +251,21 @@
   assert_client_reply (TOU_OUTCOME_DONE, TOU_OK);
 }
 
+/* Guards against an unknown outcome of a keyed write that a new proxy sends to a
+ * gate which was just killed: it needs a retry before other requests have added
+ * to the retry budget. */
+static void
+test_new_proxy_retries_first_write (void **state)
+{
+  (void)state;
+  fixture_request (TOU_REQUEST_STATEMENT, TOU_READ_NONE, "k");
+  fixture_kill_gate (0);
+  fixture_tick (100 * TOU_US_PER_MS);
+  assert_int_equal (fixture.n_sent, 2);
+  fixture_reply (TOU_OUTCOME_DONE, TOU_OK);
+  assert_client_reply (TOU_OUTCOME_DONE, TOU_OK);
+}
+
 /* "Not run" for a retry does not apply to the first attempt, whose outcome
  * remains unknown. */
 static void
@@ -346,6 +361,7 @@
     FRONT_TEST (test_dead_gate_outcome_by_kind),
     FRONT_TEST (test_keyed_write_is_retried_at_next_gate),
     FRONT_TEST (test_refused_retry_keeps_outcome_unknown),
+    FRONT_TEST (test_new_proxy_retries_first_write),
     FRONT_TEST (test_retries_stay_in_budget),
     FRONT_TEST (test_commit_raises_session_of_reply_group),
     FRONT_TEST (test_refusal_goes_to_next_gate),
