Leave a silent gateway after 0.5 s, and let the panel watch the store for all

A shorter time-out alone would give up statements that only wait in a gateway's queue.

Change: (1) a gateway reports a statement in progress every 150 ms. Without report or answer for 500 ms, reads move to another gateway or database; writes and transactions that may be running are kept. (2) Members of the panel watch the store and report its revision and the newest change that all nodes need at once; other nodes watch when they lack that, and read registrations of nodes every 5 s. A panel that does not follow the store itself informs nobody, so nodes watch for themselves then.

Tests: proxy/relay-silent fails without the change (ABORTED); proxy/relay-waiting guards against giving up a long statement; session/watches-panel.

Ruled out: longer pauses between watches (a configuration must be in force within 3 to 6 s).

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -13,20 +13,15 @@
    connection in time. */
 #define CONTROL_WATCH_NUMERATOR 2
 #define CONTROL_WATCH_DENOMINATOR 3
-/* The same while the panel reports the store's revision: a node that misses a
-   change learns of it from the panel and watches anew. */
-#define CONTROL_WATCH_LONG_US (20 * TOU_US_PER_S)
 /* Members of the panel, on which the others rely, watch for this share of the
    time within which a configuration must be applied. */
 #define CONTROL_WATCH_MEMBER_DIVISOR 4
 /* Pause after a watch that returned changes, multiplied by the number of nodes.
    When all nodes start at once, each registration wakes every other node; the
-   pause limits all nodes together to 125 calls a second. Its maximum is a share
-   of the time within which a configuration must be applied: a larger one while
-   the panel passes on new records. */
+   pause limits all nodes together to 125 calls a second. Its maximum is a fifth
+   of the time within which a configuration must be applied. */
 #define CONTROL_WATCH_PAUSE_US (8 * TOU_US_PER_MS)
 #define CONTROL_WATCH_PAUSE_DIVISOR 5
-#define CONTROL_WATCH_PAUSE_PANEL_DIVISOR 3
 /* The same for members of the panel, on which the others rely. */
 #define CONTROL_WATCH_PAUSE_MEMBER_US (100 * TOU_US_PER_MS)
 /* Pause after a failed call; outages last seconds. While the panel answers, the
@@ -46,6 +41,8 @@
 #define CONTROL_ELECTION_SPREAD_MS 150
 /* Nodes outside the panel leave the election to its members for this long. */
 #define CONTROL_ELECTION_OUTSIDE_US (500 * TOU_US_PER_MS)
+/* The same for nodes without a watch. */
+#define CONTROL_ELECTION_UNINFORMED_US (3 * TOU_US_PER_S)
 /* So do nodes that do not reach a majority, and cannot change a primary. */
 #define CONTROL_ELECTION_MINORITY_US (2 * TOU_US_PER_S)
 /* A leader without heartbeats of half of the nodes for this long yields to one
@@ -299,9 +296,20 @@
   tou_peers_adopt_panel (control->peers, &panel);
 }
 
+/* Group records are sent by the leader, and registrations of nodes may wait. */
+static gboolean
+control_is_urgent (const PlatStoreItem *item)
+{
+  return !g_str_has_prefix (item->key, CONTROL_NODE_PREFIX)
+         && !g_str_has_prefix (item->key, CONTROL_GROUP_PREFIX);
+}
+
 static void
 control_apply_item (TouControl *control, const PlatStoreItem *item)
 {
+  if (control_is_urgent (item))
+    control->proxy->urgent_revision
+        = MAX (control->proxy->urgent_revision, item->revision);
   if (strcmp (item->key, PLAT_KEY_CONFIG) == 0)
     control_on_config (control, item);
   else if (g_str_has_prefix (item->key, PLAT_PREFIX_ENDPOINTS))
@@ -316,10 +324,14 @@
     control_on_panel (control, item);
 }
 
+static guint64 control_watch_pause_us (const TouControl *control);
+
 static void
 control_set_revision (TouControl *control, guint64 revision)
 {
-  tou_follow_applied (&control->follow, revision);
+  control->proxy->store_followed_us = tou_clock_us ();
+  tou_follow_applied (&control->follow, revision,
+                      control->proxy->store_followed_us);
   control->proxy->store_revision = revision;
 }
 
@@ -365,8 +377,12 @@
     }
   g_hash_table_destroy (nodes);
   control_set_revision (control, control->list_revision);
+  /* Keys that were removed are not listed. */
+  control->proxy->urgent_revision = control->list_revision;
   control->listing = FALSE;
   control->must_list = FALSE;
+  if (tou_peers_have_panel (control->proxy))
+    control->retry_after_us = now_us + control_watch_pause_us (control);
   if (!control->proxy->synced)
     tou_evlog (TOU_EVLOG_STATE, "synced",
                "\"revision\":%" G_GUINT64_FORMAT ",\"keys\":%u",
@@ -448,9 +464,6 @@
     return limit_us;
   if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
     return CONTROL_WATCH_PAUSE_MEMBER_US;
-  if (tou_peers_reach_panel (control->peers, tou_clock_us ()))
-    return MIN (2 * pause_us, proxy->settings.config_apply_us
-                                  / CONTROL_WATCH_PAUSE_PANEL_DIVISOR);
   return MIN (pause_us, limit_us);
 }
 
@@ -507,15 +520,13 @@
 }
 
 static guint64
-control_watch_wait_us (const TouControl *control, guint64 now_us)
+control_watch_wait_us (const TouControl *control)
 {
   const TouProxy *proxy = control->proxy;
 
   if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
     return proxy->settings.config_apply_us / CONTROL_WATCH_MEMBER_DIVISOR;
-  return tou_peers_reach_panel (control->peers, now_us)
-             ? CONTROL_WATCH_LONG_US
-             : control_short_watch_us (control);
+  return control_short_watch_us (control);
 }
 
 /* Starts the next list or watch if none is running. */
@@ -523,12 +534,16 @@
 control_follow_store (TouControl *control, guint64 now_us)
 {
   const TouProxy *proxy = control->proxy;
+  TouFollowPanel panel;
   ControlWatch *call;
 
+  tou_peers_store (&panel, control->peers, now_us);
+  /* The panel and the leader rely on no other node. */
+  if (control->is_leader
+      || tou_panel_contains (&proxy->panel, &proxy->settings.node))
+    panel.informed = FALSE;
   if (proxy->panel.revision != 0)
-    tou_follow_check (&control->follow,
-                      tou_peers_newest_store_revision (control->peers),
-                      tou_peers_reach_panel (control->peers, now_us),
+    tou_follow_check (&control->follow, &panel,
                       control_short_watch_us (control), now_us);
   if (control->listing || control->follow.awaited != 0
       || now_us < control->retry_after_us)
@@ -540,12 +555,13 @@
       control_list_page (control, NULL);
       return;
     }
+  if (!tou_follow_needs_watch (&control->follow, &panel, now_us))
+    return;
   call = g_new0 (ControlWatch, 1);
   call->control = control;
   call->watch = tou_follow_start (&control->follow, now_us);
   plat_store_watch (control->store, "", control->follow.revision,
-                    control_watch_wait_us (control, now_us), control_on_watch,
-                    call);
+                    control_watch_wait_us (control), control_on_watch, call);
 }
 
 static void
@@ -623,7 +639,7 @@
           group->authority, tou_proxy_required_proofs (control->proxy), now_us);
 
       /* The panel is given time to prove a new record. */
-      if (tou_peers_reach_panel (control->peers, now_us))
+      if (control->proxy->panel.revision != 0)
         proved_us = MAX (proved_us, group->adopted_us);
       if (tou_authority_record (group->authority)->revision != 0)
         oldest_us = MIN (oldest_us, proved_us);
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -107,6 +107,45 @@
   proxy->placement_due = TRUE;
 }
 
+static gboolean
+endpoint_avoids_gateway (const TouEndpoint *endpoint, const TouName *node,
+                         guint64 now_us)
+{
+  for (guint i = 0; i < TOU_MAX_AVOIDED; i++)
+    if (now_us < endpoint->avoided[i].until_us
+        && tou_name_equal (&endpoint->avoided[i].node, node))
+      return TRUE;
+  return FALSE;
+}
+
+/* A gateway that is silent for one database is so for all. Reads move to
+   another gateway or database; writes that it may be running are kept. */
+static void
+endpoint_leave_silent_gateway (TouEndpoint *endpoint, TouName node,
+                               guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, endpoint->proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (tou_name_equal (&((TouEndpoint *)value)->gateway, &node)
+        && !endpoint_avoids_gateway (value, &node, now_us))
+      tou_endpoint_avoid_gateway (value, &node, "gateway is silent", now_us);
+  /* The next link waits until another gateway is selected. */
+  endpoint->open_after_us = now_us + TOU_PROXY_TICK_US;
+  for (guint i = endpoint->links->len; i-- > 0;)
+    {
+      TouLink *link = i < endpoint->links->len
+                          ? g_ptr_array_index (endpoint->links, i)
+                          : NULL;
+
+      if (link != NULL && tou_name_equal (&link->gateway_node, &node)
+          && tou_link_may_move (link))
+        tou_link_close (link, "gateway is silent");
+    }
+}
+
 void
 tou_endpoint_add_latency (TouEndpoint *endpoint, guint64 elapsed_us,
                           guint64 now_us)
@@ -284,6 +323,14 @@
       if (i >= endpoint->links->len)
         continue;
       link = g_ptr_array_index (endpoint->links, i);
+      if (tou_link_gateway_is_silent (link, now_us)
+          && (tou_link_may_move (link)
+              || !endpoint_avoids_gateway (endpoint, &link->gateway_node,
+                                           now_us)))
+        {
+          endpoint_leave_silent_gateway (endpoint, link->gateway_node, now_us);
+          continue;
+        }
       reason = tou_link_timeout_reason (link, now_us);
       if (!tou_link_is_idle (link))
         oldest_us = MIN (oldest_us, link->pin != NULL && link->task == NULL
--- a/src/session/follow.c
+++ b/src/session/follow.c
@@ -6,6 +6,10 @@
 #define FOLLOW_BEHIND_US (600 * TOU_US_PER_MS)
 #define FOLLOW_BEHIND_MAX_US (2400 * TOU_US_PER_MS)
 
+/* Interval at which other changes, registrations of nodes, are read. Until
+   then, a node that is gone is known from the panel's list of silent nodes. */
+#define FOLLOW_OTHERS_US (5 * TOU_US_PER_S)
+
 void
 tou_follow_init (TouFollow *follow)
 {
@@ -24,13 +28,22 @@
   return watch;
 }
 
+gboolean
+tou_follow_needs_watch (const TouFollow *follow, const TouFollowPanel *panel,
+                        guint64 now_us)
+{
+  return !panel->informed || panel->urgent > follow->revision
+         || (panel->revision > follow->revision
+             && now_us >= follow->applied_us + FOLLOW_OTHERS_US);
+}
+
 void
-tou_follow_check (TouFollow *follow, guint64 panel_revision,
-                  gboolean reaches_panel, guint64 short_us, guint64 now_us)
+tou_follow_check (TouFollow *follow, const TouFollowPanel *panel,
+                  guint64 short_us, guint64 now_us)
 {
   if (follow->awaited == 0)
     return;
-  if (panel_revision <= follow->revision)
+  if (panel->revision <= follow->revision)
     follow->behind_us = 0;
   else if (follow->behind_us == 0)
     follow->behind_us = now_us;
@@ -39,7 +52,7 @@
       follow->awaited = 0;
       follow->limit_us = MIN (2 * follow->limit_us, FOLLOW_BEHIND_MAX_US);
     }
-  else if (!reaches_panel && now_us >= follow->sent_us + short_us)
+  else if (!panel->informed && now_us >= follow->sent_us + short_us)
     follow->awaited = 0;
 }
 
@@ -59,9 +72,10 @@
 }
 
 void
-tou_follow_applied (TouFollow *follow, guint64 revision)
+tou_follow_applied (TouFollow *follow, guint64 revision, guint64 now_us)
 {
   follow->revision = revision;
+  follow->applied_us = now_us;
   follow->behind_us = 0;
   follow->limit_us = FOLLOW_BEHIND_US;
 }
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -38,6 +38,7 @@
   gboolean in_txn;
   TouLogPos initial_pos; /* endpoint's position when the link was opened */
   guint64 since_us;      /* when it was opened, became idle or busy */
+  guint64 received_us;   /* when data was last received */
   TouTask *task;
   TouPin *pin;          /* the link's reservation, or NULL */
   TouName gateway_node; /* gateway of the link; empty: direct connection */
@@ -55,6 +56,18 @@
 /** Opens a link and adds it to the endpoint's links. */
 void tou_link_open (TouEndpoint *endpoint, guint64 now_us);
 
+/**
+ * TRUE if its gateway has neither answered a statement nor reported it in
+ * progress for a while.
+ */
+gboolean tou_link_gateway_is_silent (const TouLink *link, guint64 now_us);
+
+/**
+ * TRUE if closing it gives up no work: it is idle, or its statement may run
+ * elsewhere instead.
+ */
+gboolean tou_link_may_move (const TouLink *link);
+
 /** TRUE if the link can run a task. */
 gboolean tou_link_is_idle (const TouLink *link);
 
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -19,6 +19,9 @@
 /* The same for a database that rejected the startup message. Its registration
    must change before a link can succeed. */
 #define LINK_REJECTED_PAUSE_US TOU_US_PER_S
+/* Maximum silence of a gateway while a statement is in flight: three reports of
+   its progress. */
+#define LINK_GATEWAY_SILENT_US (500 * TOU_US_PER_MS)
 /* Maximum size of a buffered reply in bytes. */
 #define LINK_MAX_ANSWER ((gsize)4 * PLAT_WIRE_MAX_MESSAGE)
 
@@ -372,6 +375,8 @@
 {
   TouSqlReply reply;
 
+  if (link->gateway_node.len > 0 && tou_relay_is_progress (line))
+    return;
   plat_wire_decode_reply (&reply, line);
   switch (reply.kind)
     {
@@ -423,6 +428,7 @@
   /* A gateway's refusal does not show that the database is reachable. */
   if (link->gateway_node.len == 0 || link->state == LINK_READY)
     tou_endpoint_set_reachable (link->endpoint, tou_clock_us ());
+  link->received_us = tou_clock_us ();
   g_string_append_len (link->in, buf->base, n);
   /* A closed link is freed later by the event loop, so it can be read here. */
   while (!link->closed
@@ -541,6 +547,22 @@
   return score;
 }
 
+gboolean
+tou_link_gateway_is_silent (const TouLink *link, guint64 now_us)
+{
+  return link->gateway_node.len > 0 && link->state == LINK_READY
+         && (link->task != NULL || link->steps->len > 0)
+         && now_us >= MAX (link->since_us, link->received_us)
+                          + LINK_GATEWAY_SILENT_US;
+}
+
+gboolean
+tou_link_may_move (const TouLink *link)
+{
+  return link->state == LINK_READY && link->pin == NULL
+         && (link->task == NULL || !link->task->may_commit);
+}
+
 const char *
 tou_link_timeout_reason (const TouLink *link, guint64 now_us)
 {
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -39,7 +39,7 @@
 #define PEERS_VERSION 3
 /* Numbers of fields: of a message, of a panel, of a position, and of a group
    with and without record. */
-#define PEERS_FIELDS 12
+#define PEERS_FIELDS 13
 #define PEERS_PANEL_FIELDS 4
 #define PEERS_POSITION_FIELDS 4
 #define PEERS_RECORD_FIELDS 8
@@ -50,6 +50,12 @@
 #define PEERS_WANTS_DETAILS 2
 /* The sender's records may be used as proofs. */
 #define PEERS_VOUCHES 4
+/* The sender watches the store and has had answers lately. */
+#define PEERS_FOLLOWS_STORE 8
+/* A node follows the store if a watch has returned within this share of the
+   time within which a configuration must be applied: one watch and its round
+   trip. */
+#define PEERS_FOLLOWS_DIVISOR 3
 /* Multipliers of the splitmix64 mixer. */
 #define PEERS_MIX_1 G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9)
 #define PEERS_MIX_2 G_GUINT64_CONSTANT (0x94d049bb133111eb)
@@ -83,6 +89,8 @@
   guint64 digest;    /* of its records; 0: unknown */
   guint64 panel_revision;
   guint64 store_revision;
+  guint64 urgent_revision;
+  gboolean follows_store;
   GArray *silent;     /* of PeerSilent */
   GHashTable *groups; /* TouName to PeerReport */
 } Peer;
@@ -132,6 +140,8 @@
   peer->digest = 0;
   peer->panel_revision = 0;
   peer->store_revision = 0;
+  peer->urgent_revision = 0;
+  peer->follows_store = FALSE;
   g_array_set_size (peer->silent, 0);
   g_hash_table_remove_all (peer->groups);
 }
@@ -387,9 +397,15 @@
   msgpack_pack_uint64 (packer, now_us);
   msgpack_pack_uint64 (packer, peer->echo_us);
   msgpack_pack_uint64 (packer, tou_peers_digest (proxy));
-  msgpack_pack_uint64 (packer, flags | (peers->vouches ? PEERS_VOUCHES : 0));
+  if (peers->vouches)
+    flags |= PEERS_VOUCHES;
+  if (now_us < proxy->store_followed_us
+                   + proxy->settings.config_apply_us / PEERS_FOLLOWS_DIVISOR)
+    flags |= PEERS_FOLLOWS_STORE;
+  msgpack_pack_uint64 (packer, flags);
   msgpack_pack_uint64 (packer, proxy->panel.revision);
   msgpack_pack_uint64 (packer, proxy->store_revision);
+  msgpack_pack_uint64 (packer, proxy->urgent_revision);
   peers_pack_panel (packer, peers, peer);
   /* What only the panel knows. */
   msgpack_pack_array (packer, content == PEERS_POSITIONS ? 2 : 1);
@@ -551,6 +567,7 @@
   guint64 flags;
   guint64 panel_revision;
   guint64 store_revision;
+  guint64 urgent_revision;
 } PeerHeader;
 
 static gboolean
@@ -566,7 +583,8 @@
          && unpack_number (&out->digest, &fields[5])
          && unpack_number (&out->flags, &fields[6])
          && unpack_number (&out->panel_revision, &fields[7])
-         && unpack_number (&out->store_revision, &fields[8]);
+         && unpack_number (&out->store_revision, &fields[8])
+         && unpack_number (&out->urgent_revision, &fields[9]);
 }
 
 static gboolean
@@ -705,6 +723,8 @@
   peer->digest = header->digest;
   peer->panel_revision = header->panel_revision;
   peer->store_revision = header->store_revision;
+  peer->urgent_revision = header->urgent_revision;
+  peer->follows_store = (header->flags & PEERS_FOLLOWS_STORE) != 0;
   if (header->echo_us <= peer->last_heartbeat_us)
     {
       peer->echoed_us = MAX (peer->echoed_us, header->echo_us);
@@ -739,16 +759,16 @@
   if (object->type != MSGPACK_OBJECT_ARRAY
       || object->via.array.size != PEERS_FIELDS
       || !unpack_header (&header, fields)
-      || fields[11].type != MSGPACK_OBJECT_ARRAY)
+      || fields[12].type != MSGPACK_OBJECT_ARRAY)
     return FALSE;
-  groups = &fields[11];
+  groups = &fields[12];
   peer = g_hash_table_lookup (peers->nodes, &header.node);
   /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
   if (peer == NULL || !peer_on_header (peer, &header))
     return TRUE;
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
-  if (!peers_on_panel (peers, &fields[9])
-      || !peers_on_summary (peers, peer, &fields[10], echo_us))
+  if (!peers_on_panel (peers, &fields[10])
+      || !peers_on_summary (peers, peer, &fields[11], echo_us))
     return FALSE;
   accepts_proofs = peers_accepts_proofs (peers, peer, header.flags);
   peer_clear_reports (peer);
@@ -1103,20 +1123,22 @@
     out->n_previous += peers_has_acked (peers, key, group);
 }
 
-guint64
-tou_peers_newest_store_revision (const TouPeers *peers)
+void
+tou_peers_store (TouFollowPanel *out, const TouPeers *peers, guint64 now_us)
 {
   const TouPanel *panel = &peers->proxy->panel;
-  guint64 newest = 0;
 
+  memset (out, 0, sizeof *out);
   for (guint i = 0; i < panel->n_members; i++)
     {
       const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
 
-      if (peer != NULL)
-        newest = MAX (newest, peer->store_revision);
+      if (peer == NULL || now_us >= peer->echoed_us + PEERS_REPORTING_US)
+        continue;
+      out->informed = out->informed || peer->follows_store;
+      out->revision = MAX (out->revision, peer->store_revision);
+      out->urgent = MAX (out->urgent, peer->urgent_revision);
     }
-  return newest;
 }
 
 gboolean
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "follow.h"
 #include "gateway.h"
 #include "link.h"
 #include "panel.h"
@@ -54,8 +55,9 @@
 void tou_peers_count_votes (TouPanelVotes *out, const TouPeers *peers,
                             const TouGroup *group);
 
-/** Returns the newest store revision that a member of the panel has applied. */
-guint64 tou_peers_newest_store_revision (const TouPeers *peers);
+/** Sets @a out to what the members of the panel report of the store. */
+void tou_peers_store (TouFollowPanel *out, const TouPeers *peers,
+                      guint64 now_us);
 
 /** TRUE if a majority of the panel answers. */
 gboolean tou_peers_reach_panel (const TouPeers *peers, guint64 now_us);
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -21,12 +21,17 @@
 /* Maximum number of queued statements per rank: twice as many as a database
    queues itself. */
 #define RELAY_QUEUE_LIMIT 64
+/* A statement that waits or runs for this long is reported to the other node at
+   this interval, which tells a long wait from a gateway that is cut off. */
+#define RELAY_PROGRESS_US (150 * TOU_US_PER_MS)
 /* Listen backlog for connections of other nodes. */
 #define RELAY_BACKLOG 512
 
 /* Keyword and maximum length of the line with a statement's rank. */
 #define RELAY_RANK_KEYWORD "RANK"
 #define RELAY_RANK_MAX 40
+/* Line that reports a statement in progress. */
+#define RELAY_PROGRESS_LINE "WAIT"
 
 struct TouRelay
 {
@@ -42,6 +47,7 @@
   gboolean close_requested; /* closes when its statement ends */
   gboolean busy;            /* a statement is queued or running */
   guint64 last_activity_us; /* last statement received or answered */
+  guint64 progress_us;      /* when the other node last received something */
   TouSqlValues values;
   GHashTable *prepared;
   TouLink *link; /* pinned by the open transaction */
@@ -268,6 +274,21 @@
          && tou_endpoint_idle_link (endpoint, NULL) == NULL;
 }
 
+gboolean
+tou_relay_is_progress (TouSlice line)
+{
+  return tou_slice_is (line, RELAY_PROGRESS_LINE);
+}
+
+static void
+relay_report_progress (TouRelay *relay, guint64 now_us)
+{
+  if (!relay->busy || now_us < relay->progress_us + RELAY_PROGRESS_US)
+    return;
+  relay->progress_us = now_us;
+  relay_send (relay, g_string_new (RELAY_PROGRESS_LINE "\r\n"));
+}
+
 /* Refuses a statement that has waited too long for a link, and closes an idle
    session if its transaction has timed out or the database is unavailable. The
    other node receives the reason when it opens its next session. */
@@ -316,6 +337,7 @@
        list_node = next)
     {
       next = list_node->next;
+      relay_report_progress (list_node->data, now_us);
       relay_check (list_node->data, reason != NULL, all_links_pinned, now_us);
     }
   while ((item = reason != NULL
@@ -354,6 +376,7 @@
     }
   relay->busy = TRUE;
   relay->last_activity_us = tou_clock_us ();
+  relay->progress_us = relay->last_activity_us;
   if (relay->link != NULL)
     {
       relay_run (relay, relay->link);
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -37,4 +37,7 @@
 /** Refuses statements that cannot run in time and closes unused sessions. */
 void tou_relay_tick (TouEndpoint *endpoint, guint64 now_us);
 
+/** TRUE if a gateway's line only reports that a statement is in progress. */
+gboolean tou_relay_is_progress (TouSlice line);
+
 G_END_DECLS
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -38,6 +38,7 @@
   guint64 next_id;
   gboolean proofs_paused;  /* no proofs of the record are added */
   TouProxy *gateway_proxy; /* node that is the gateway, or NULL */
+  gboolean gateway_silent; /* it reports no progress */
   GString *out;
 } Script;
 
@@ -52,7 +53,7 @@
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
   tou_proxy_tick (script->proxy, now_us);
-  if (script->gateway_proxy != NULL)
+  if (script->gateway_proxy != NULL && !script->gateway_silent)
     tou_proxy_tick (script->gateway_proxy, now_us);
 }
 
@@ -489,6 +490,8 @@
     run_via (script, words);
   else if (strcmp (words[0], "gateway-draining") == 0)
     run_gateway_draining (script, words);
+  else if (strcmp (words[0], "gateway-silent") == 0)
+    script->gateway_silent = TRUE;
   else if (strcmp (words[0], "gateway-lost") == 0)
     run_gateway_lost (script, words);
   else if (strcmp (words[0], "attempts") == 0)
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -560,6 +560,8 @@
 run_follow (Script *script, const Command *command)
 {
   TouFollow *follow = &script->follow;
+  TouFollowPanel panel
+      = { arg_is (command, 2, "informed"), arg_number (command, 1), 0 };
 
   if (arg_is (command, 0, "watch"))
     {
@@ -570,10 +572,15 @@
                               "watch %u after %" G_GUINT64_FORMAT "\n",
                               watch.id, watch.after);
     }
+  else if (arg_is (command, 0, "needs-watch"))
+    {
+      panel.urgent = arg_number (command, 3);
+      put_yes_no (script, command->rest,
+                  tou_follow_needs_watch (follow, &panel, arg_us (command, 4)));
+    }
   else if (arg_is (command, 0, "check-watch"))
     {
-      tou_follow_check (follow, arg_number (command, 1),
-                        arg_is (command, 2, "reached"), arg_us (command, 3),
+      tou_follow_check (follow, &panel, arg_us (command, 3),
                         arg_us (command, 4));
       g_string_append_printf (script->out, "awaits %u\n", follow->awaited);
     }
@@ -585,7 +592,8 @@
           follow, g_array_index (script->watches, TouWatch, i), succeeded);
 
       if (handled && succeeded)
-        tou_follow_applied (follow, arg_number (command, 3));
+        tou_follow_applied (follow, arg_number (command, 3),
+                            arg_us (command, 4));
       put_yes_no (script, "handled", handled);
     }
   else
