Give registrations time to return after all nodes were down with the store

Cause: registrations of databases expire during an outage of the store. A known primary was given 2.5 s already; an unknown one now is as well, from the first list of the store. In the same logs a leader in a minority announced a change because the primary was "gone", which ended the writes of all nodes that it reached, though it could not complete the change: every reason now needs heartbeats of a majority.

Ruled out: a longer time for known primaries (they had it), waiting for the store's return (a node that starts cannot tell how long it was away).

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -11,9 +11,6 @@
 /* The registry updates a role some time after the promotion. A recorded primary
    that is registered as a replica is accepted for this long. */
 #define CONTROL_ROLE_DELAY_US (3 * TOU_US_PER_S)
-/* Registrations expire during an outage of the store and are renewed within two
-   seconds. */
-#define CONTROL_MISSING_GRACE_US (2500 * TOU_US_PER_MS)
 
 static void
 control_fill_endpoint (TouHandoverEndpoint *out, const TouEndpoint *endpoint)
@@ -55,12 +52,14 @@
 
   memset (out, 0, sizeof *out);
   out->record = *tou_authority_record (group->authority);
+  out->primary_registered = tou_handover_is_registered (
+      primary != NULL ? primary->missing_since_us
+                      : MAX (group->adopted_us, control->synced_us),
+      now_us);
   if (primary != NULL)
     {
-      out->primary_registered = !primary->removed
-                                && (primary->missing_since_us == 0
-                                    || now_us < primary->missing_since_us
-                                                    + CONTROL_MISSING_GRACE_US);
+      if (primary->removed)
+        out->primary_registered = FALSE;
       /* A database that restarted under the same id is a replica. */
       if (primary->info.role == TOU_ROLE_REPLICA
           && now_us >= state->group->adopted_us + CONTROL_ROLE_DELAY_US)
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -35,6 +35,7 @@
   gboolean connected;
   gboolean listing;
   gboolean must_list;
+  guint64 synced_us; /* when the store was first read */
   guint64 retry_after_us;
   guint64 retry_pause_us;  /* after the next failed list or watch */
   TouFollow follow;        /* of the store's changes */
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -384,10 +384,13 @@
   if (tou_peers_have_panel (control->proxy))
     control->retry_after_us = now_us + control_watch_pause_us (control);
   if (!control->proxy->synced)
-    tou_evlog (TOU_EVLOG_STATE, "synced",
-               "\"revision\":%" G_GUINT64_FORMAT ",\"keys\":%u",
-               control->follow.revision,
-               g_hash_table_size (control->listed_keys));
+    {
+      control->synced_us = now_us;
+      tou_evlog (TOU_EVLOG_STATE, "synced",
+                 "\"revision\":%" G_GUINT64_FORMAT ",\"keys\":%u",
+                 control->follow.revision,
+                 g_hash_table_size (control->listed_keys));
+    }
   control->proxy->synced = TRUE;
 }
 
@@ -459,9 +462,10 @@
 
   if (control->is_leader)
     return 0;
-  /* The nodes that start at the same time are not known yet. */
+  /* The nodes that start at the same time are not known yet, and none serves
+     clients. */
   if (tou_clock_us () < proxy->link_hold_until_us)
-    return limit_us;
+    return 2 * limit_us;
   if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
     return CONTROL_WATCH_PAUSE_MEMBER_US;
   return MIN (pause_us, limit_us);
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -18,6 +18,10 @@
    this time. */
 #define HANDOVER_SUSPECT_DELAY_US (1000 * TOU_US_PER_MS)
 
+/* Registrations expire during an outage of the store and are renewed within two
+   seconds. */
+#define HANDOVER_MISSING_GRACE_US (2500 * TOU_US_PER_MS)
+
 typedef enum
 {
   HANDOVER_IDLE,
@@ -44,6 +48,13 @@
   guint64 rejected_us;
 };
 
+gboolean
+tou_handover_is_registered (guint64 missing_since_us, guint64 now_us)
+{
+  return missing_since_us == 0
+         || now_us < missing_since_us + HANDOVER_MISSING_GRACE_US;
+}
+
 int
 tou_handover_create (TouHandover **out)
 {
@@ -168,7 +179,6 @@
   if (view->primary_draining)
     return "primary is leaving";
   if (view->n_suspecting > 0 && view->n_suspecting * 2 >= n_observing
-      && view->n_reporting * 2 > view->n_nodes
       && now_us >= view->record_us + HANDOVER_SUSPECT_DELAY_US)
     return "primary does not answer";
   return NULL;
@@ -194,7 +204,10 @@
       handover->step_down_requested = FALSE;
       return;
     }
-  if (reason == NULL || !handover_has_candidate (view))
+  /* An announcement ends all writes. A leader in a minority could not complete
+     the change. */
+  if (reason == NULL || view->n_reporting * 2 <= view->n_nodes
+      || !handover_has_candidate (view))
     return;
   record.moving = TRUE;
   record.candidate.len = 0;
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -62,6 +62,15 @@
   const char *reason;    /**< static text for the log */
 } TouHandoverAction;
 
+/**
+ * Returns TRUE unless a primary's registration has been missing for longer than
+ * it takes to return: registrations expire during an outage of the store, and a
+ * node that has started since does not know of any before.
+ *
+ * @param missing_since_us when it was first not found; 0: it is there
+ */
+gboolean tou_handover_is_registered (guint64 missing_since_us, guint64 now_us);
+
 typedef struct TouHandover TouHandover;
 
 int tou_handover_create (TouHandover **out);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -712,6 +712,10 @@
       view->n_observing = (guint)arg_number (command, 6);
       view->majority_has_record = view->n_quiesced * 2 > view->n_nodes;
     }
+  else if (arg_is (command, 0, "is-registered"))
+    put_yes_no (
+        script, command->rest,
+        tou_handover_is_registered (arg_us (command, 1), arg_us (command, 2)));
   else if (arg_is (command, 0, "majority"))
     view->majority_has_record = arg_is (command, 1, "yes");
   else if (arg_is (command, 0, "uncertain"))
