--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -251,9 +251,9 @@
   assert_client_reply (TOU_OUTCOME_DONE, TOU_OK);
 }
 
-/* Guards against an unknown outcome of a keyed write that a new proxy sends to a
- * gate which was just killed: it needs a retry before other requests have added
- * to the retry budget. */
+/* Guards against an unknown outcome of a keyed write that a new proxy sends to
+ * a gate which was just killed: it needs a retry before other requests have
+ * added to the retry budget. */
 static void
 test_new_proxy_retries_first_write (void **state)
 {
