Let nodes without a watch be elected after 3 s

Since the panel watches the store for all, other nodes have no watch in flight, and the election required one: with all five members unable to be elected (stopping, or refused leases) while they follow the store, no leader would be elected until one returned. Ruled out: no delay at all (195 nodes would claim the key at the same moment). No test of its own: the election has no module without network.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -39,11 +39,11 @@
 #define CONTROL_LEASE_MARGIN_US (300 * TOU_US_PER_MS)
 /* Elections of the nodes are spread over this time, to avoid conflicts. */
 #define CONTROL_ELECTION_SPREAD_MS 150
-/* Nodes outside the panel leave the election to its members for this long. */
+/* Delays of nodes that leave the election to others: nodes outside the panel,
+   nodes that are not watching the store at the moment, and nodes that do not
+   reach a majority, and so cannot change a primary. */
 #define CONTROL_ELECTION_OUTSIDE_US (500 * TOU_US_PER_MS)
-/* The same for nodes without a watch. */
 #define CONTROL_ELECTION_UNINFORMED_US (3 * TOU_US_PER_S)
-/* So do nodes that do not reach a majority, and cannot change a primary. */
 #define CONTROL_ELECTION_MINORITY_US (2 * TOU_US_PER_S)
 /* A leader without heartbeats of half of the nodes for this long yields to one
    on the other side of a partition. */
@@ -750,9 +750,12 @@
     spread_us += CONTROL_ELECTION_MINORITY_US;
 
   /* Between watches, another node may have been elected. */
+  if (control->follow.awaited == 0)
+    spread_us += CONTROL_ELECTION_UNINFORMED_US;
+
   if (control->is_leader || control->electing || control->leader_key_exists
-      || control->follow.awaited == 0 || !control->proxy->synced
-      || !control->registered || control->proxy->draining
+      || !control->proxy->synced || !control->registered
+      || control->proxy->draining
       || now_us < MAX (control->leader_absent_since_us + spread_us,
                        control->elect_after_us))
     return;
