Count only members that have read the store up to the node's panel

Change: a proof needs a member that has read the store at least up to the revision of the node's panel. Heartbeats contain that revision already.

Ruled out: the condition on the panel's revision in record writes (it was there and does not prevent it).

--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -688,7 +688,8 @@
 }
 
 /* Returns TRUE if the records of @a peer prove this node's. A peer with a later
-   panel no longer votes in this node's. */
+   panel no longer votes in this node's, and one that has not read the store up
+   to this node's panel may lack records that are older than the panel. */
 static gboolean
 peers_accepts_proofs (const TouPeers *peers, const Peer *peer, guint64 flags)
 {
@@ -703,6 +704,7 @@
                    - MIN (proxy->store_answered_us, peer->last_heartbeat_us));
   return (flags & PEERS_VOUCHES) != 0
          && peer->panel_revision <= proxy->panel.revision
+         && peer->store_revision >= proxy->panel.revision
          && tou_panel_contains (&proxy->panel, &peer->node);
 }
 
--- a/tests/support/heartbeat-fleet.c
+++ b/tests/support/heartbeat-fleet.c
@@ -108,6 +108,7 @@
   for (guint i = 0; i < TOU_PANEL_SIZE; i++)
     panel.members[panel.n_members++] = fleet->proxies[first + i]->settings.node;
   tou_peers_adopt_panel (fleet->peers[node], &panel);
+  fleet->proxies[node]->store_revision = revision;
 }
 
 gboolean
--- a/tests/support/heartbeat-fleet.h
+++ b/tests/support/heartbeat-fleet.h
@@ -41,7 +41,7 @@
 /** The group "g" of a node. */
 TouGroup *hbfleet_group (const HbFleet *fleet, guint node);
 
-/** Makes a node adopt a panel of the nodes from @a first on. */
+/** Makes a node read a panel of the nodes from @a first on from the store. */
 void hbfleet_adopt_panel (HbFleet *fleet, guint node, guint64 revision,
                           guint first);
 
--- a/tests/test-panel.c
+++ b/tests/test-panel.c
@@ -141,6 +141,8 @@
 
   (void)state;
   fleet_start (&fleet);
+  for (guint i = OUTSIDE; i < 2 * OUTSIDE; i++)
+    fleet.proxies[i]->store_revision = 7;
   hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
   hbfleet_run (&fleet, TOU_US_PER_S);
   for (guint i = 0; i < FLEET_MAX_NODES; i++)
@@ -152,6 +154,23 @@
   hbfleet_clear (&fleet);
 }
 
+/* Members that have not read the store since their panel was written may lack a
+   record that is older than it, and that its predecessor had. */
+static void
+test_outdated_panel_proves_nothing (void **state)
+{
+  HbFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
+  hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
+  assert_int_equal (fleet.proxies[OUTSIDE]->panel.revision, 7);
+  assert_false (hbfleet_is_valid (&fleet, 2, 5));
+  assert_false (hbfleet_is_valid (&fleet, FLEET_MAX_NODES - 1, 5));
+  hbfleet_clear (&fleet);
+}
+
 /* Each node would ask each primary for its position; instead, one member's
    answer reaches all, and is never taken for newer than it is. */
 static void
@@ -207,6 +226,7 @@
           cmocka_unit_test (test_majority_of_panel_is_enough),
           cmocka_unit_test (test_isolated_panel_proves_nothing),
           cmocka_unit_test (test_panel_is_replaced),
+          cmocka_unit_test (test_outdated_panel_proves_nothing),
           cmocka_unit_test (test_position_is_shared),
           cmocka_unit_test (test_silent_node_is_reported) };
 
