Show that one requester's session value ends all nodes

Cause: tou_values_set() stores a name with a NUL byte cut short, so the session gets two values of one name and link_put_values() never ends.

--- a/review/standin/bench.c
+++ b/review/standin/bench.c
@@ -289,12 +289,70 @@
       "cloudApi.address=%s:%d\ncloudApi.ratePerS=50.0\n"
       "cloudApi.duties=failover\ncloudApi.dutyPerS=50.0\n";
 
+/* Pause before the platform starts an ended process again. */
+#define RESTART_MS 900
+/* Interval at which the platform compares the memory with the limit. */
+#define MEMORY_CHECK_MS 10
+#define MEMORY_LIMIT_MB 260
+
+static void node_spawn (Node *node);
+
+static void
+node_restart (gpointer data)
+{
+  Node *node = data;
+
+  if (!node->bench->ended)
+    node_spawn (node);
+}
+
+static void
+node_check_memory (gpointer data)
+{
+  Node *node = data;
+  char *path;
+  char *text = NULL;
+  unsigned long pages = 0;
+
+  if (!node->runs)
+    return;
+  path = g_strdup_printf ("/proc/%d/statm", node->process.pid);
+  if (g_file_get_contents (path, &text, NULL, NULL))
+    sscanf (text, "%*u %lu", &pages);
+  g_free (path);
+  g_free (text);
+  if (pages * (unsigned long)getpagesize () > MEMORY_LIMIT_MB << 20)
+    {
+      bench_note (node->bench, "node %s: over %d MB, killed", node->name,
+                  MEMORY_LIMIT_MB);
+      uv_process_kill (&node->process, SIGKILL);
+      return;
+    }
+  bench_after (node->bench, MEMORY_CHECK_MS, node_check_memory, node);
+}
+
+void
+node_keep (Node *node)
+{
+  node->kept = TRUE;
+  node_check_memory (node);
+}
+
+guint
+node_ends (const Node *node)
+{
+  return node->n_ends;
+}
+
 static void
 node_on_exit (uv_process_t *process, int64_t status, int signum)
 {
   Node *node = process->data;
 
   node->runs = FALSE;
+  node->n_ends++;
+  if (node->kept)
+    bench_after (node->bench, RESTART_MS, node_restart, node);
   bench_note (node->bench, "node %s: process ended, status %d, signal %d",
               node->name, (int)status, signum);
 }
@@ -332,6 +390,8 @@
       exit (CASE_NOT_RUN);
     }
   node->runs = TRUE;
+  if (node->kept)
+    node_check_memory (node);
   bench_note (node->bench, "node %s: started", node->name);
   g_free (variable);
 }
--- a/review/standin/client.c
+++ b/review/standin/client.c
@@ -112,28 +112,40 @@
   return client;
 }
 
+const char *
+client_query_bytes (Client *client, const char *text, gsize len)
+{
+  GString *line = g_string_new (NULL);
+
+  g_snprintf (client->id, sizeof client->id, "%016" G_GINT64_MODIFIER "x",
+              client->bench->next_id++);
+  memset (&client->answer, 0, sizeof client->answer);
+  g_string_append_printf (line, "QUERY %s ", client->id);
+  g_string_append_len (line, text, (gssize)len);
+  g_string_append (line, "\r\n");
+  g_hash_table_replace (client->bench->sent, g_strdup (client->id),
+                        g_strdup (text));
+  bench_note (client->bench, "sent     %s to %s: %s%s", client->id,
+              client->node->name, text,
+              strlen (text) < len ? " (and more bytes after a NUL)" : "");
+  conn_send (&client->conn, line->str, line->len);
+  g_string_free (line, TRUE);
+  return client->id;
+}
+
 const char *
 client_query (Client *client, const char *format, ...)
 {
   va_list args;
   char *text;
-  char *line;
+  const char *id;
 
   va_start (args, format);
   text = g_strdup_vprintf (format, args);
   va_end (args);
-  g_snprintf (client->id, sizeof client->id, "%016" G_GINT64_MODIFIER "x",
-              client->bench->next_id++);
-  memset (&client->answer, 0, sizeof client->answer);
-  line = g_strdup_printf ("QUERY %s %s\r\n", client->id, text);
-  g_hash_table_replace (client->bench->sent, g_strdup (client->id),
-                        g_strdup (text));
-  bench_note (client->bench, "sent     %s to %s: %s", client->id,
-              client->node->name, text);
-  conn_send (&client->conn, line, strlen (line));
-  g_free (line);
+  id = client_query_bytes (client, text, strlen (text));
   g_free (text);
-  return client->id;
+  return id;
 }
 
 const ClientAnswer *
--- a/review/standin/private.h
+++ b/review/standin/private.h
@@ -77,6 +77,8 @@
   char *settings;
   uv_process_t process;
   gboolean runs;
+  gboolean kept;
+  guint n_ends;
   uv_tcp_t store_listener; /* the node's own path to the store */
   uv_tcp_t cloud_listener; /* and to the promotions */
   GPtrArray *conns;        /* platform connections */
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -100,6 +100,11 @@
 Node *node_start (Bench *bench, const char *name);
 const char *node_name (const Node *node);
 void node_signal (Node *node, int signum);
+/** From now on its process is limited in memory and started again, as by the
+   platform. */
+void node_keep (Node *node);
+/** How often its process has ended. */
+guint node_ends (const Node *node);
 /** TRUE while its process runs. */
 gboolean node_runs (const Node *node);
 
@@ -128,6 +133,8 @@
 /** Sends a statement with a new id. @return the id */
 const char *client_query (Client *client, const char *format, ...)
     G_GNUC_PRINTF (2, 3);
+/** Sends a statement whose text may contain any byte. @return the id */
+const char *client_query_bytes (Client *client, const char *text, gsize len);
 const ClientAnswer *client_answer (const Client *client);
 /** Closes the session; no event follows. */
 void client_close (Client *client);
