Wait for the nodes to end before a case ends

Cause: killed processes were still there for a moment after a case. Done: the stand-in runs its loop until all have ended.

--- a/review/standin/bench.c
+++ b/review/standin/bench.c
@@ -197,6 +197,15 @@
   bench_end (data, CASE_NOT_RUN, "time limit");
 }
 
+static gboolean
+any_node_runs (const Bench *bench)
+{
+  for (guint i = 0; i < bench->nodes->len; i++)
+    if (((const Node *)g_ptr_array_index (bench->nodes, i))->runs)
+      return TRUE;
+  return FALSE;
+}
+
 int
 bench_run (Bench *bench, guint64 limit_ms)
 {
@@ -210,6 +219,8 @@
         uv_process_kill (&node->process, SIGKILL);
       g_unlink (node->settings);
     }
+  while (any_node_runs (bench))
+    uv_run (&bench->loop, UV_RUN_ONCE);
   g_rmdir (bench->dir);
   fclose (bench->record);
   return bench->result;
