--- a/review/1/case.c
+++ b/review/1/case.c
@@ -199,9 +199,9 @@
 {
   Case test = { 0 };
 
-  if (argc != 2)
+  if (argc != 3)
     return CASE_NOT_RUN;
-  test.bench = bench_new (argv[1]);
+  test.bench = bench_new (argv[1], argv[2]);
   test.acked = g_ptr_array_new ();
   bench_service (test.bench, "records", 22, 1);
   bench_route (test.bench, "sign", "primary", 800, 0, -1);
--- a/review/standin/bench.c
+++ b/review/standin/bench.c
@@ -35,8 +35,7 @@
 gboolean
 bench_trouble (const Bench *bench)
 {
-  (void)bench;
-  return g_strcmp0 (getenv ("TROUBLE"), "0") != 0;
+  return bench->trouble;
 }
 
 void
@@ -105,10 +104,11 @@
 }
 
 Bench *
-bench_new (const char *record_path)
+bench_new (const char *record_path, const char *trouble)
 {
   Bench *bench = g_new0 (Bench, 1);
 
+  bench->trouble = strcmp (trouble, "off") != 0;
   signal (SIGPIPE, SIG_IGN);
   bench->record = fopen (record_path, "w");
   if (bench->record == NULL || access (PROGRAM, X_OK) != 0)
--- a/review/standin/private.h
+++ b/review/standin/private.h
@@ -32,6 +32,7 @@
   uv_timer_t tick;
   uv_signal_t term;
   uv_signal_t interrupt;
+  gboolean trouble;
   guint64 started_ms;
   FILE *record;
   char *record_path;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -26,9 +26,12 @@
 
 /* Bench. */
 
-/** Creates a bench; the record is written to @a record_path. */
-Bench *bench_new (const char *record_path);
-/** FALSE if the environment variable TROUBLE is 0. */
+/**
+ * Creates a bench; the record is written to @a record_path. @a trouble is "on"
+ * or "off", from run.sh, which reads the environment variable TROUBLE.
+ */
+Bench *bench_new (const char *record_path, const char *trouble);
+/** FALSE if the case runs without its disruption. */
 gboolean bench_trouble (const Bench *bench);
 /** Milliseconds since the start. */
 guint64 bench_ms (const Bench *bench);
