Log the era of the store that a response comes from

A node's log could not tell a store that was restored from a copy from one that compacted its history: both show history_lost, and a node that comes back after the revisions have passed its own shows neither. Decisions are unchanged.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -109,7 +109,7 @@
   ControlGroup *state = write->state;
   gboolean done = reply->result == PLAT_STORE_OK;
 
-  tou_control_count_reply (state->control, reply->result, "write_record");
+  tou_control_count_reply (state->control, reply, "write_record");
   if (done)
     {
       write->record.revision = reply->revision;
--- a/src/session/control-panel.c
+++ b/src/session/control-panel.c
@@ -20,7 +20,7 @@
   ControlPanelWrite *write = user_data;
   TouControl *control = write->control;
 
-  tou_control_count_reply (control, reply->result, "write_panel");
+  tou_control_count_reply (control, reply, "write_panel");
   control->writing_panel = FALSE;
   control->panel_after_us = tou_clock_us () + CONTROL_PANEL_PAUSE_US;
   if (reply->result == PLAT_STORE_OK)
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -33,6 +33,7 @@
   GHashTable *groups; /* TouName to ControlGroup */
 
   gboolean connected;
+  guint64 era; /* highest one of the store's responses */
   gboolean listing;
   gboolean must_list;
   guint64 synced_us; /* when the store was first read */
@@ -69,8 +70,11 @@
   guint64 panel_acked_revision; /* panel that panel_acked_us is about */
 };
 
-/** Counts a finished call and updates whether the store is connected. */
-void tou_control_count_reply (TouControl *control, PlatStoreResult result,
+/**
+ * Counts a finished call and updates whether the store is connected and which
+ * era it is in.
+ */
+void tou_control_count_reply (TouControl *control, const PlatStoreReply *reply,
                               const char *call);
 
 /** TRUE while this node is the leader and the previous one has ended. */
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -93,13 +93,27 @@
   return status;
 }
 
+static void
+control_check_era (TouControl *control, const PlatStoreReply *reply,
+                   const char *call)
+{
+  if (reply->era <= control->era)
+    return;
+  tou_evlog (TOU_EVLOG_STATE, "store_era",
+             "\"era\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
+             ",\"call\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
+             reply->era, control->era, call, control->follow.revision);
+  control->era = reply->era;
+}
+
 void
-tou_control_count_reply (TouControl *control, PlatStoreResult result,
+tou_control_count_reply (TouControl *control, const PlatStoreReply *reply,
                          const char *call)
 {
-  gboolean answered
-      = result != PLAT_STORE_REFUSED && result != PLAT_STORE_UNKNOWN;
+  gboolean answered = reply->result != PLAT_STORE_REFUSED
+                      && reply->result != PLAT_STORE_UNKNOWN;
 
+  control_check_era (control, reply, call);
   TOU_COUNT (control->proxy, STORE_CALLS);
   if (answered)
     control->proxy->store_answered_us = tou_clock_us ();
@@ -111,7 +125,7 @@
   tou_evlog (
       TOU_EVLOG_STATE, answered ? "store_regained" : "store_lost",
       "\"call\":\"%s\",\"answer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT, call,
-      result == PLAT_STORE_REFUSED ? "refused" : "none",
+      reply->result == PLAT_STORE_REFUSED ? "refused" : "none",
       control->follow.revision);
 }
 
@@ -417,7 +431,7 @@
   TouControl *control = user_data;
   const char *last = NULL;
 
-  tou_control_count_reply (control, reply->result, "list");
+  tou_control_count_reply (control, reply, "list");
   if (reply->result != PLAT_STORE_OK)
     {
       control->listing = FALSE;
@@ -486,7 +500,7 @@
                                           reply->result == PLAT_STORE_OK);
 
   g_free (call);
-  tou_control_count_reply (control, reply->result, "watch");
+  tou_control_count_reply (control, reply, "watch");
   if (!handled || control->listing)
     return;
   switch (reply->result)
@@ -573,7 +587,7 @@
 {
   TouControl *control = user_data;
 
-  tou_control_count_reply (control, reply->result, "register");
+  tou_control_count_reply (control, reply, "register");
   control->registering = FALSE;
   control->registered = reply->result == PLAT_STORE_OK;
   control->register_after_us = tou_clock_us () + CONTROL_RETRY_US;
@@ -607,7 +621,7 @@
 {
   TouControl *control = user_data;
 
-  tou_control_count_reply (control, reply->result, "records");
+  tou_control_count_reply (control, reply, "records");
   control->proving = FALSE;
   if (reply->result != PLAT_STORE_OK)
     return;
@@ -665,7 +679,7 @@
   TouControl *control = user_data;
   guint64 now_us = tou_clock_us ();
 
-  tou_control_count_reply (control, reply->result, "take_duty");
+  tou_control_count_reply (control, reply, "take_duty");
   control->electing = FALSE;
   control->elect_after_us = now_us + CONTROL_RETRY_US;
   if (reply->result == PLAT_STORE_NOT_FOUND)
@@ -700,7 +714,7 @@
 {
   TouControl *control = user_data;
 
-  tou_control_count_reply (control, reply->result, "lease");
+  tou_control_count_reply (control, reply, "lease");
   if (reply->result != PLAT_STORE_OK || reply->lease == 0)
     {
       control->electing = FALSE;
@@ -716,7 +730,7 @@
 static void
 control_on_revoked (gpointer user_data, const PlatStoreReply *reply)
 {
-  tou_control_count_reply (user_data, reply->result, "revoke");
+  tou_control_count_reply (user_data, reply, "revoke");
 }
 
 static gboolean
@@ -771,7 +785,7 @@
 {
   TouControl *control = user_data;
 
-  tou_control_count_reply (control, reply->result, "renew");
+  tou_control_count_reply (control, reply, "renew");
   if (reply->result == PLAT_STORE_OK)
     control->lease_until_us
         = MAX (control->lease_until_us,
@@ -820,7 +834,7 @@
 {
   TouControl *control = user_data;
 
-  tou_control_count_reply (control, reply->result, "remove_node");
+  tou_control_count_reply (control, reply, "remove_node");
   control->removing = FALSE;
   control->removed_us = tou_clock_us ();
 }
