List the store again when its era rises

What callers saw: requests handled by a version that was replaced long before (CONFIG), and statements on a database 7 s after it reported draining (DRAIN).

Cause: a store that is restored from a copy gives revisions out again. A node that was away until the store had passed the node's own revision continued its watch there; no error told it that the changes up to it were others, and it never read them. Ruled out: a hanging watch (the watches of the late nodes returned at once), a configuration that was read and rejected (no config_unreadable line).

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -1,6 +1,7 @@
 #include "control-private.h"
 
 #include "document.h"
+#include "revision.h"
 
 #include <jansson.h>
 
@@ -103,6 +104,13 @@
              "\"era\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
              ",\"call\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
              reply->era, control->era, call, control->follow.revision);
+  /* Watches continue in a history that may no longer exist, and revisions of
+     the store do not tell: they are given out again. */
+  if (control->era != 0)
+    {
+      control->must_list = TRUE;
+      tou_follow_abandon (&control->follow);
+    }
   control->era = reply->era;
 }
 
@@ -443,6 +451,13 @@
     }
   if (control->list_revision == 0)
     control->list_revision = reply->revision;
+  /* The pages before are of the history before the store was restored. */
+  if (tou_revision_era (control->list_revision)
+      != tou_revision_era (reply->revision))
+    {
+      control->listing = FALSE;
+      return;
+    }
   for (guint i = 0; i < reply->items->len; i++)
     {
       const PlatStoreItem *item
@@ -501,7 +516,7 @@
 
   g_free (call);
   tou_control_count_reply (control, reply, "watch");
-  if (!handled || control->listing)
+  if (!handled || control->listing || control->must_list)
     return;
   switch (reply->result)
     {
--- a/src/session/follow.c
+++ b/src/session/follow.c
@@ -71,6 +71,12 @@
   return TRUE;
 }
 
+void
+tou_follow_abandon (TouFollow *follow)
+{
+  follow->awaited = 0;
+}
+
 void
 tou_follow_applied (TouFollow *follow, guint64 revision, guint64 now_us)
 {
--- a/src/session/follow.h
+++ b/src/session/follow.h
@@ -64,6 +64,9 @@
 gboolean tou_follow_returned (TouFollow *follow, TouWatch watch,
                               gboolean succeeded);
 
+/** Stops waiting for the current watch. */
+void tou_follow_abandon (TouFollow *follow);
+
 /** Changes up to @a revision have been applied. */
 void tou_follow_applied (TouFollow *follow, guint64 revision, guint64 now_us);
 
--- /dev/null
+++ b/tests/control/control-fleet.c
@@ -0,0 +1,198 @@
+#include "control-fleet.h"
+
+#include <string.h>
+
+/* Interval of the nodes' ticks, and timeout of a wait. */
+#define TICK_MS 10
+#define WAIT_US (20 * TOU_US_PER_S)
+#define CONFIG_APPLY_US (3 * TOU_US_PER_S)
+#define LEASE_MIN_US TOU_US_PER_S
+
+static void
+fleet_on_timer (uv_timer_t *timer)
+{
+  ControlFleet *fleet = timer->data;
+  guint64 now_us = tou_clock_us ();
+
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    if (fleet->nodes[i].proxy != NULL)
+      {
+        tou_peers_tick (fleet->nodes[i].peers, now_us);
+        tou_control_tick (fleet->nodes[i].control, now_us);
+      }
+}
+
+void
+fleet_init (ControlFleet *fleet)
+{
+  memset (fleet, 0, sizeof *fleet);
+  uv_loop_init (&fleet->loop);
+  fleet->kv = kv_create (&fleet->loop);
+  uv_timer_init (&fleet->loop, &fleet->timer);
+  fleet->timer.data = fleet;
+  uv_timer_start (&fleet->timer, fleet_on_timer, 0, TICK_MS);
+}
+
+void
+fleet_kill (ControlFleet *fleet, guint node)
+{
+  FleetNode *killed = &fleet->nodes[node];
+
+  if (killed->proxy == NULL)
+    return;
+  fleet_cut (fleet, node, TRUE);
+  tou_control_destroy (killed->control);
+  tou_peers_destroy (killed->peers);
+  tou_proxy_destroy (killed->proxy);
+  plat_store_destroy (killed->store);
+  plat_http_destroy (killed->http);
+  memset (killed, 0, sizeof *killed);
+}
+
+void
+fleet_clear (ControlFleet *fleet)
+{
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    fleet_kill (fleet, i);
+  kv_destroy (fleet->kv);
+  uv_close ((uv_handle_t *)&fleet->timer, NULL);
+  uv_run (&fleet->loop, UV_RUN_DEFAULT);
+  g_assert_cmpint (uv_loop_close (&fleet->loop), ==, 0);
+}
+
+FleetNode *
+fleet_add (ControlFleet *fleet)
+{
+  FleetNode *node = &fleet->nodes[fleet->n_nodes];
+  TouNodeSettings settings = { 0 };
+  char *name = g_strdup_printf ("node%u", fleet->n_nodes++);
+
+  settings.node = tou_name (name);
+  settings.failure_domain = tou_name ("a");
+  settings.peers_listen = tou_name ("127.0.0.1:0");
+  settings.config_apply_us = CONFIG_APPLY_US;
+  settings.lease_min_us = LEASE_MIN_US;
+  g_assert_cmpint (plat_http_create (&node->http, &fleet->loop), ==, TOU_OK);
+  g_assert_cmpint (plat_store_create (&node->store, node->http, name, name), ==,
+                   TOU_OK);
+  g_assert_cmpint (tou_proxy_create (&node->proxy, &fleet->loop, &settings), ==,
+                   TOU_OK);
+  g_assert_cmpint (tou_peers_create (&node->peers, node->proxy), ==, TOU_OK);
+  g_assert_cmpint (
+      tou_peers_address (&node->proxy->settings.peers_listen, node->peers), ==,
+      TOU_OK);
+  g_assert_cmpint (tou_control_create (&node->control, node->proxy, node->store,
+                                       node->peers),
+                   ==, TOU_OK);
+  g_free (name);
+  return node;
+}
+
+void
+fleet_cut (ControlFleet *fleet, guint node, gboolean cut)
+{
+  char *name = g_strdup_printf ("node%u", node);
+
+  kv_cut (fleet->kv, name, cut);
+  g_free (name);
+}
+
+void
+fleet_configure (ControlFleet *fleet, guint64 version)
+{
+  char *text = g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT
+                                ",\"routes\":[],\"services\":[],\"limits\":{}}",
+                                version);
+
+  kv_put (fleet->kv, "op/config", text);
+  g_free (text);
+}
+
+void
+fleet_put_record (ControlFleet *fleet, guint64 term)
+{
+  char *primary = g_strdup_printf ("db%" G_GUINT64_FORMAT, term);
+  TouGroupRecord record = { 0 };
+  char *text;
+
+  record.term = term;
+  record.primary = tou_name (primary);
+  text = tou_record_encode (&record);
+  kv_put (fleet->kv, "tou/group/g", text);
+  free (text);
+  g_free (primary);
+}
+
+gboolean
+fleet_has_version (const FleetNode *node, guint64 version)
+{
+  return node->proxy->routing != NULL
+         && node->proxy->routing->version == version;
+}
+
+gboolean
+fleet_uses_term (const FleetNode *node, guint64 term)
+{
+  TouName name = tou_name ("g");
+  TouGroup *group = tou_group_get (node->proxy, &name);
+
+  return tou_authority_record (group->authority)->term == term
+         && tou_proxy_has_proof (node->proxy, group, tou_clock_us ());
+}
+
+gboolean
+fleet_has_leader (const FleetNode *node, guint64 ignored)
+{
+  (void)ignored;
+  return node->proxy->leader.len > 0;
+}
+
+static guint
+fleet_count (const ControlFleet *fleet, FleetCondition condition, guint64 value)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    count
+        += fleet->nodes[i].proxy != NULL && condition (&fleet->nodes[i], value);
+  return count;
+}
+
+static guint
+fleet_running (const ControlFleet *fleet)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    count += fleet->nodes[i].proxy != NULL;
+  return count;
+}
+
+gboolean
+fleet_wait (ControlFleet *fleet, FleetCondition condition, guint64 value)
+{
+  guint64 end_us = tou_clock_us () + WAIT_US;
+
+  while (fleet_count (fleet, condition, value) < fleet_running (fleet))
+    {
+      if (tou_clock_us () >= end_us)
+        return FALSE;
+      uv_run (&fleet->loop, UV_RUN_ONCE);
+    }
+  return TRUE;
+}
+
+gboolean
+fleet_run_without (ControlFleet *fleet, guint64 time_us,
+                   FleetCondition condition, guint64 value)
+{
+  guint64 end_us = tou_clock_us () + time_us;
+
+  while (tou_clock_us () < end_us)
+    {
+      uv_run (&fleet->loop, UV_RUN_ONCE);
+      if (fleet_count (fleet, condition, value) > 0)
+        return FALSE;
+    }
+  return TRUE;
+}
--- /dev/null
+++ b/tests/control/control-fleet.h
@@ -0,0 +1,65 @@
+/**
+ * @file control-fleet.h
+ * Nodes with their access to the store and their heartbeats, on one event loop.
+ */
+#pragma once
+
+#include "kv-standin.h"
+
+#include "control.h"
+
+G_BEGIN_DECLS
+
+#define FLEET_MAX_NODES 6
+
+typedef struct
+{
+  PlatHttp *http;
+  PlatStore *store;
+  TouProxy *proxy;
+  TouPeers *peers;
+  TouControl *control;
+} FleetNode;
+
+typedef struct
+{
+  uv_loop_t loop;
+  uv_timer_t timer;
+  KvStandin *kv;
+  guint n_nodes;
+  FleetNode nodes[FLEET_MAX_NODES];
+} ControlFleet;
+
+/** Condition on a node; see fleet_wait(). */
+typedef gboolean (*FleetCondition) (const FleetNode *node, guint64 value);
+
+void fleet_init (ControlFleet *fleet);
+void fleet_clear (ControlFleet *fleet);
+
+/** Starts a node without the memory of an earlier process. */
+FleetNode *fleet_add (ControlFleet *fleet);
+/** Ends a node's process, as a kill does. */
+void fleet_kill (ControlFleet *fleet, guint node);
+/** Cuts a node off from the store. */
+void fleet_cut (ControlFleet *fleet, guint node, gboolean cut);
+
+/** Writes a configuration without routes. */
+void fleet_configure (ControlFleet *fleet, guint64 version);
+/** Writes the record of the group "g"; its primary is "dbTERM". */
+void fleet_put_record (ControlFleet *fleet, guint64 term);
+
+/** The node uses the configuration with this version. */
+gboolean fleet_has_version (const FleetNode *node, guint64 version);
+/** The node may use the primary of the record with this term. */
+gboolean fleet_uses_term (const FleetNode *node, guint64 term);
+/** The node knows a leader; the value is ignored. */
+gboolean fleet_has_leader (const FleetNode *node, guint64 ignored);
+
+/** Runs until all nodes meet the condition; FALSE if they don't in 20 s. */
+gboolean fleet_wait (ControlFleet *fleet, FleetCondition condition,
+                     guint64 value);
+/** Runs for @a time_us; FALSE if a node met the condition meanwhile. */
+gboolean fleet_run_without (ControlFleet *fleet, guint64 time_us,
+                            FleetCondition condition, guint64 value);
+
+G_END_DECLS
