Yield leadership when the store was restored, and wait for its lease

Cause: a restored store has lost the leader's key and lease. Other nodes found the key missing and elected a leader within 150 ms, while the former one acted until its next renewal failed or its lease ended by its own clock, up to 1.3 s. A lease id of the lost history may also have been granted to another node, whose lease the former leader would renew or revoke.

A leader yields with the first response of a new era and forgets its lease; no node stands for election until a lease time after it has seen the new era, and an election that spans two eras is dropped.

Test: test-restore, case test_second_leader_waits_for_lost_lease. Without the change it fails: the new leader's key is written less than 1.3 s after the restore.

--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -53,6 +53,7 @@
   gboolean leader_key_exists;
   guint64 leader_absent_since_us; /* when the leader key was found missing */
   gboolean electing;
+  guint64 election_era;   /* era in which the lease was requested */
   guint64 elect_after_us; /* no election before this time */
   guint64 lease;
   gboolean is_leader;
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -94,6 +94,26 @@
   return status;
 }
 
+static void
+control_end_leadership (TouControl *control, const char *reason)
+{
+  if (!control->is_leader)
+    return;
+  control->is_leader = FALSE;
+  tou_evlog (TOU_EVLOG_STATE, "duty_lost",
+             "\"token\":%" G_GUINT64_FORMAT ",\"reason\":\"%s\"",
+             control->token, reason);
+}
+
+/* After a failed renewal, waits for a lease time so that another node can be
+   elected. */
+static void
+control_yield_leadership (TouControl *control, const char *reason)
+{
+  control_end_leadership (control, reason);
+  control->elect_after_us = tou_clock_us () + CONTROL_LEASE_US;
+}
+
 static void
 control_check_era (TouControl *control, const PlatStoreReply *reply,
                    const char *call)
@@ -104,12 +124,16 @@
              "\"era\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT
              ",\"call\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
              reply->era, control->era, call, control->follow.revision);
-  /* Watches continue in a history that may no longer exist, and revisions of
-     the store do not tell: they are given out again. */
   if (control->era != 0)
     {
+      /* Watches continue in a history that may no longer exist, and revisions
+         of the store do not tell: they are given out again. */
       control->must_list = TRUE;
       tou_follow_abandon (&control->follow);
+      /* The store may have lost the lease, or granted its id to another node.
+         A leader that has not noticed yet acts until its lease ends. */
+      control->lease = 0;
+      control_yield_leadership (control, "store was restored");
     }
   control->era = reply->era;
 }
@@ -268,26 +292,6 @@
   tou_group_adopt (tou_group_get (control->proxy, &name), &record, "store");
 }
 
-static void
-control_end_leadership (TouControl *control, const char *reason)
-{
-  if (!control->is_leader)
-    return;
-  control->is_leader = FALSE;
-  tou_evlog (TOU_EVLOG_STATE, "duty_lost",
-             "\"token\":%" G_GUINT64_FORMAT ",\"reason\":\"%s\"",
-             control->token, reason);
-}
-
-/* After a failed renewal, waits for a lease time so that another node can be
-   elected. */
-static void
-control_yield_leadership (TouControl *control, const char *reason)
-{
-  control_end_leadership (control, reason);
-  control->elect_after_us = tou_clock_us () + CONTROL_LEASE_US;
-}
-
 static void
 control_on_leader (TouControl *control, const PlatStoreItem *item)
 {
@@ -696,12 +700,14 @@
 
   tou_control_count_reply (control, reply, "take_duty");
   control->electing = FALSE;
-  control->elect_after_us = now_us + CONTROL_RETRY_US;
+  control->elect_after_us
+      = MAX (control->elect_after_us, now_us + CONTROL_RETRY_US);
   if (reply->result == PLAT_STORE_NOT_FOUND)
     control->lease = 0;
   if (reply->result == PLAT_STORE_CONFLICT)
     control->leader_key_exists = TRUE;
-  if (reply->result != PLAT_STORE_OK || control->proxy->draining)
+  if (reply->result != PLAT_STORE_OK || control->proxy->draining
+      || control->election_era != control->era)
     return;
   control->is_leader = TRUE;
   control->leader_key_exists = TRUE;
@@ -730,10 +736,12 @@
   TouControl *control = user_data;
 
   tou_control_count_reply (control, reply, "lease");
-  if (reply->result != PLAT_STORE_OK || reply->lease == 0)
+  if (reply->result != PLAT_STORE_OK || reply->lease == 0
+      || control->election_era != control->era)
     {
       control->electing = FALSE;
-      control->elect_after_us = tou_clock_us () + CONTROL_RETRY_US;
+      control->elect_after_us
+          = MAX (control->elect_after_us, tou_clock_us () + CONTROL_RETRY_US);
       return;
     }
   control->lease = reply->lease;
@@ -789,6 +797,7 @@
                        control->elect_after_us))
     return;
   control->electing = TRUE;
+  control->election_era = control->era;
   plat_store_lease_grant (
       control->store,
       MAX (CONTROL_LEASE_US, control->proxy->settings.lease_min_us),
