Select a candidate only if it has all acknowledged commits

Cause: the selection compared the replicas that answered within 250 ms and left out draining ones, although these receive commits and count for their acknowledgement. No decision read syncReplicas. Ruled out: the order of log positions, and the wait for a primary that stepped down.

A commit that k replicas have received is on one of any n - k + 1 replicas of n. So with synchronous replicas the selection waits until fewer than k of them have not answered since the nodes stopped using the old primary, or until that one has stepped down and the candidate has its position. Draining replicas may be selected if no other has as many commits. A primary that returns meanwhile is asked to step down. Without synchronous replicas nothing changes but that a draining endpoint that leads a later term is recorded.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -19,10 +19,8 @@
 {
   memset (out, 0, sizeof *out);
   out->id = endpoint->info.id;
-  out->usable
-      = !endpoint->removed && endpoint->unreachable_since_us == 0
-        && (!endpoint->info.draining
-            || endpoint == tou_group_recorded_primary (endpoint->group));
+  out->usable = !endpoint->removed && endpoint->unreachable_since_us == 0;
+  out->draining = endpoint->info.draining;
   out->role = endpoint->status.role;
   out->term = endpoint->status.term;
   out->received = endpoint->status.received;
@@ -71,6 +69,7 @@
       out->primary_draining = primary->info.draining;
     }
   out->record_us = state->group->adopted_us;
+  out->sync_replicas = group->limits.sync_replicas;
   out->n_nodes = control->proxy->n_nodes;
   out->n_reporting = 1 + tou_peers_count_reporting (control->peers, now_us);
   if (primary != NULL)
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -158,12 +158,26 @@
   handover_write (handover, &record, HANDOVER_IDLE, "found", out);
 }
 
+static gboolean
+handover_is_replica (const TouHandoverView *view,
+                     const TouHandoverEndpoint *endpoint)
+{
+  return !tou_name_equal (&endpoint->id, &view->record.primary);
+}
+
+static gboolean
+handover_may_select (const TouHandoverView *view,
+                     const TouHandoverEndpoint *endpoint)
+{
+  return endpoint->usable && handover_is_replica (view, endpoint)
+         && (!endpoint->draining || view->sync_replicas > 0);
+}
+
 static gboolean
 handover_has_candidate (const TouHandoverView *view)
 {
   for (guint i = 0; i < view->n_endpoints; i++)
-    if (view->endpoints[i].usable
-        && !tou_name_equal (&view->endpoints[i].id, &view->record.primary))
+    if (handover_may_select (view, &view->endpoints[i]))
       return TRUE;
   return FALSE;
 }
@@ -288,6 +302,24 @@
     handover_step_down (handover, primary, now_us, out);
 }
 
+static gboolean
+handover_was_rejected (const TouHandover *handover,
+                       const TouHandoverEndpoint *endpoint, guint64 now_us)
+{
+  return tou_name_equal (&endpoint->id, &handover->rejected)
+         && now_us < handover->rejected_us + HANDOVER_REJECTED_DELAY_US;
+}
+
+/* A draining replica is selected only if no other one has as many commits. */
+static gboolean
+handover_is_better (const TouHandoverEndpoint *endpoint,
+                    const TouHandoverEndpoint *best)
+{
+  int order = tou_log_pos_compare (endpoint->received, best->received);
+
+  return order > 0 || (order == 0 && best->draining && !endpoint->draining);
+}
+
 /* Returns the replica with the highest log position among those that answered
    after quiesced_us. */
 static const TouHandoverEndpoint *
@@ -302,11 +334,8 @@
     {
       const TouHandoverEndpoint *endpoint = &view->endpoints[i];
 
-      if (!endpoint->usable
-          || tou_name_equal (&endpoint->id, &view->record.primary))
-        continue;
-      if (tou_name_equal (&endpoint->id, &handover->rejected)
-          && now_us < handover->rejected_us + HANDOVER_REJECTED_DELAY_US)
+      if (!handover_may_select (view, endpoint)
+          || handover_was_rejected (handover, endpoint, now_us))
         continue;
       if (endpoint->status_us < handover->quiesced_us)
         {
@@ -316,13 +345,40 @@
       /* Its promotion may already be ordered. */
       if (tou_name_equal (&endpoint->id, &view->record.candidate))
         return endpoint;
-      if (best == NULL
-          || tou_log_pos_compare (endpoint->received, best->received) > 0)
+      if (best == NULL || handover_is_better (endpoint, best))
         best = endpoint;
     }
   return best;
 }
 
+/* Returns FALSE if a commit may have been acknowledged because replicas have
+   received it that have not answered since no node uses the old primary. */
+static gboolean
+handover_has_all_acknowledged (const TouHandover *handover,
+                               const TouHandoverView *view,
+                               const TouHandoverEndpoint *best, guint64 now_us)
+{
+  const TouHandoverEndpoint *primary
+      = handover_find_endpoint (view, &view->record.primary);
+  guint n_unheard = 0;
+
+  if (primary != NULL && primary->usable
+      && primary->status_us >= handover->quiesced_us
+      && primary->role == TOU_ROLE_REPLICA
+      && tou_log_pos_compare (best->received, primary->received) >= 0)
+    return TRUE;
+  for (guint i = 0; i < view->n_endpoints; i++)
+    {
+      const TouHandoverEndpoint *endpoint = &view->endpoints[i];
+
+      if (handover_is_replica (view, endpoint)
+          && (!endpoint->usable || endpoint->status_us < handover->quiesced_us
+              || handover_was_rejected (handover, endpoint, now_us)))
+        n_unheard++;
+    }
+  return n_unheard < view->sync_replicas;
+}
+
 /* Returns TRUE while the old primary has not stepped down, or has commits that
    @a best may still receive. */
 static gboolean
@@ -341,6 +397,27 @@
          || tou_log_pos_compare (best->received, primary->received) < 0;
 }
 
+/* The old primary returned while the selection waited. It may have commits that
+   no replica has, which these receive once it has stepped down. */
+static gboolean
+handover_use_returned_primary (TouHandover *handover,
+                               const TouHandoverView *view, guint64 now_us,
+                               TouHandoverAction *out)
+{
+  const TouHandoverEndpoint *primary
+      = handover_find_endpoint (view, &view->record.primary);
+
+  if (view->sync_replicas == 0 || handover->step_down_requested
+      || !handover_is_primary (primary, view->record.term)
+      || primary->status_us < handover->quiesced_us)
+    return FALSE;
+  if (handover_cancel (handover, view, now_us, out))
+    return TRUE;
+  handover->quiesced_us = now_us;
+  handover_step_down (handover, primary, now_us, out);
+  return TRUE;
+}
+
 static void
 handover_choose (TouHandover *handover, const TouHandoverView *view,
                  guint64 now_us, TouHandoverAction *out)
@@ -350,6 +427,7 @@
   TouGroupRecord record = view->record;
 
   if (handover_publish (handover, view, NULL, out)
+      || handover_use_returned_primary (handover, view, now_us, out)
       || handover_repeat_step_down (handover, view, now_us, out))
     return;
   best = handover_best_candidate (handover, view, now_us, &waiting);
@@ -357,6 +435,9 @@
       || (waiting && now_us < handover->quiesced_us + HANDOVER_STATUS_WAIT_US)
       || handover_must_catch_up (handover, view, best, now_us))
     return;
+  if (view->sync_replicas > 0
+      && !handover_has_all_acknowledged (handover, view, best, now_us))
+    return;
   handover->candidate = best->id;
   record.candidate = best->id;
   handover_write (handover, &record, HANDOVER_ORDERING, "candidate", out);
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -7,6 +7,10 @@
  * the highest log position, write it to the store as the candidate, order its
  * promotion, wait until it is primary, write it to the store as primary.
  * Another node can repeat each step.
+ *
+ * With synchronous replicas, the selection waits until the positions show that
+ * the replica has every acknowledged commit, and draining replicas, which
+ * receive commits as well, may be selected.
  */
 #pragma once
 
@@ -18,8 +22,9 @@
 typedef struct
 {
   TouName id;
-  gboolean usable; /**< registered, not draining, and it answers */
-  TouRole role;    /**< in the last status; UNKNOWN without one */
+  gboolean usable;   /**< registered, and it answers */
+  gboolean draining; /**< it ends soon, but receives commits until then */
+  TouRole role;      /**< in the last status; UNKNOWN without one */
   guint64 term;
   TouLogPos received;
   guint64 status_us; /**< send time of the last answered status request */
@@ -31,13 +36,15 @@
   TouGroupRecord record;
   gboolean primary_registered; /**< registered, or missing only briefly */
   gboolean primary_draining;
-  guint64 record_us;  /**< when the record was adopted */
-  guint n_nodes;      /**< registered nodes, including this one */
-  guint n_reporting;  /**< nodes with a recent heartbeat, including this one */
-  guint n_observing;  /**< nodes with their own connections to the primary;
-                           0: all reporting nodes */
-  guint n_suspecting; /**< observing nodes that suspect the primary */
-  guint n_quiesced;   /**< nodes that no longer use the old primary */
+  guint64 record_us;   /**< when the record was adopted */
+  guint sync_replicas; /**< a commit is acknowledged once as many replicas have
+                            received it; 0: at once */
+  guint n_nodes;       /**< registered nodes, including this one */
+  guint n_reporting;   /**< nodes with a recent heartbeat, including this one */
+  guint n_observing;   /**< nodes with their own connections to the primary;
+                            0: all reporting nodes */
+  guint n_suspecting;  /**< observing nodes that suspect the primary */
+  guint n_quiesced;    /**< nodes that no longer use the old primary */
   gboolean
       nodes_uncertain; /**< n_nodes may not include all nodes with proofs */
   /** A majority of the voters no longer proves an earlier record. */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -677,6 +677,7 @@
   endpoint.term = arg_number (command, 4);
   endpoint.received = position (arg (command, 5));
   endpoint.status_us = arg_us (command, 6);
+  endpoint.draining = arg_is (command, 7, "draining");
   while (i < view->n_endpoints
          && !tou_name_equal (&view->endpoints[i].id, &endpoint.id))
     i++;
@@ -716,6 +717,8 @@
     put_yes_no (
         script, command->rest,
         tou_handover_is_registered (arg_us (command, 1), arg_us (command, 2)));
+  else if (arg_is (command, 0, "sync-replicas"))
+    view->sync_replicas = (guint)arg_number (command, 1);
   else if (arg_is (command, 0, "majority"))
     view->majority_has_record = arg_is (command, 1, "yes");
   else if (arg_is (command, 0, "uncertain"))
