--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -73,11 +73,46 @@
   return (TouSlice){ text, strlen (text) };
 }
 
+/* Distance of a control character from its letter in caret notation. */
+#define CARET ('A' - 1)
+
+/* Replaces caret notation, such as ^@, ^J and ^M, by control characters. */
+static GString *
+control_characters (const char *text)
+{
+  GString *bytes = g_string_new (NULL);
+
+  for (; *text != '\0'; text++)
+    if (text[0] == '^' && text[1] >= CARET && text[1] <= 'Z')
+      g_string_append_c (bytes, (char)(*++text - CARET));
+    else
+      g_string_append_c (bytes, *text);
+  return bytes;
+}
+
 static void
 put_slice (Script *script, const char *label, TouSlice text)
 {
-  g_string_append_printf (script->out, " %s=[%.*s]", label, (int)text.len,
-                          text.len > 0 ? text.data : "");
+  g_string_append_printf (script->out, " %s=[", label);
+  for (gsize i = 0; i < text.len; i++)
+    if (g_ascii_iscntrl (text.data[i]))
+      g_string_append_printf (script->out, "^%c", text.data[i] + CARET);
+    else
+      g_string_append_c (script->out, text.data[i]);
+  g_string_append_c (script->out, ']');
+}
+
+static void
+run_stream (Script *script, const Command *command)
+{
+  GString *bytes = control_characters (command->rest);
+  gsize used = 0;
+  TouSlice line;
+
+  while (plat_wire_next_line (&line, bytes->str, bytes->len, &used))
+    put_slice (script, "line", line);
+  g_string_append_printf (script->out, " left=%zu\n", bytes->len - used);
+  g_string_free (bytes, TRUE);
 }
 
 static void
@@ -256,7 +291,7 @@
     { "client", run_client },     { "statement", run_statement },
     { "reply", run_reply },       { "status", run_status },
     { "config", run_config },     { "endpoint-record", run_endpoint_record },
-    { "settings", run_settings },
+    { "settings", run_settings }, { "stream", run_stream },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (decoders); i++)
