--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -136,9 +136,10 @@
   static const char *const kinds[]
       = { "invalid", "begin", "commit",  "rollback", "read",
           "write",   "set",   "prepare", "execute",  "deallocate" };
+  GString *text = control_characters (command->rest);
   TouSqlStatement statement;
 
-  plat_wire_decode_statement (&statement, slice (command->rest));
+  plat_wire_decode_statement (&statement, (TouSlice){ text->str, text->len });
   g_string_append (script->out, kinds[statement.kind]);
   switch (statement.kind)
     {
@@ -168,6 +169,7 @@
       break;
     }
   g_string_append_c (script->out, '\n');
+  g_string_free (text, TRUE);
 }
 
 static void
