End the process after a stop signal also while statements run

Cause: the loop was stopped 250 ms after the registration was removed, whatever ran then; tou_proxy_destroy() closed the first client of the list until it was gone, but one with a running statement stays until that ends, which needed the loop. A session that sends its next statement at once was idle at no tick and was served until then. Ruled out: the handling of the signal (logged at once) and of the registration.

Each client is closed once; those with a running statement close with their endpoint. The loop ends when no session is left, at the latest 100 ms before the platform kills the process. In the second half of the grace time, when open transactions that are idle are ended as well, a session in state I is refused with BUSY: the client retries at another node at once instead of losing an answer.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -584,11 +584,37 @@
                          "the transaction has failed; roll it back");
 }
 
+/* TRUE if the statement begins an operation that might not end before the
+   process does. */
+static gboolean
+client_is_too_late (const TouClient *client, const TouSqlStatement *statement)
+{
+  const TouProxy *proxy = client->proxy;
+
+  switch (statement->kind)
+    {
+    case TOU_SQL_BEGIN:
+    case TOU_SQL_READ:
+    case TOU_SQL_WRITE:
+    case TOU_SQL_EXECUTE:
+      return client->state == TOU_SQL_STATE_IDLE && proxy->draining
+             && tou_clock_us () >= proxy->end_txns_us;
+    default:
+      return FALSE;
+    }
+}
+
 static void
 client_handle_statement (TouClient *client, const TouSqlStatement *statement)
 {
   gboolean open = client->state == TOU_SQL_STATE_OPEN;
 
+  if (client_is_too_late (client, statement))
+    {
+      client_fail (client, TOU_SQL_E_BUSY,
+                   "this node is stopping; retry at another one", NULL);
+      return;
+    }
   if (open && client->txn_lost && statement->kind != TOU_SQL_ROLLBACK)
     {
       if (statement->kind == TOU_SQL_COMMIT)
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -391,11 +391,18 @@
 {
   GHashTableIter iter;
   gpointer value;
+  GList *next;
 
   if (proxy == NULL)
     return;
-  while (proxy->clients.head != NULL)
-    tou_client_close (proxy->clients.head->data);
+  /* Clients with a running statement close when it ends, at the latest with its
+     endpoint. */
+  for (GList *list_node = proxy->clients.head; list_node != NULL;
+       list_node = next)
+    {
+      next = list_node->next;
+      tou_client_close (list_node->data);
+    }
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     tou_endpoint_destroy (value);
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -103,7 +103,8 @@
   gboolean draining;          /**< the stop signal has been received */
   gboolean deregistered;      /**< its registration is being removed */
   guint64 drain_us;           /**< when it was received */
-  guint64 end_txns_us;        /**< draining: idle transactions are ended then */
+  guint64 end_txns_us;        /**< draining: idle transactions are ended then,
+                                   and no operation begins any more */
   guint64 totals_logged_us;   /**< last log line with the counters */
   gboolean record_changed; /**< send heartbeats with the new record at once */
   guint64 counters[TOU_COUNT_N];
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -13,6 +13,8 @@
 /* Deregistration starts at the latest this long before the platform kills the
    process. */
 #define SESSIOND_EXIT_MARGIN_US (600 * TOU_US_PER_MS)
+/* The process ends at the latest this long before it would be killed. */
+#define SESSIOND_LAST_MARGIN_US (100 * TOU_US_PER_MS)
 /* Time to revoke the lease and remove the registration before the exit. */
 #define SESSIOND_DEREGISTER_US (250 * TOU_US_PER_MS)
 
@@ -84,8 +86,11 @@
       daemon->deregister_start_us = now_us;
       tou_control_deregister (daemon->control);
     }
+  /* Statements that are still running are answered if there is time. */
   if (daemon->deregister_start_us != 0
-      && now_us >= daemon->deregister_start_us + SESSIOND_DEREGISTER_US)
+      && now_us >= daemon->deregister_start_us + SESSIOND_DEREGISTER_US
+      && (proxy->clients.length == 0
+          || now_us + SESSIOND_LAST_MARGIN_US >= daemon->kill_deadline_us))
     uv_stop (&daemon->loop);
 }
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -52,7 +52,8 @@
     tou_authority_prove_by_store (
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
-  tou_proxy_tick (script->proxy, now_us);
+  if (script->proxy != NULL)
+    tou_proxy_tick (script->proxy, now_us);
   if (script->gateway_proxy != NULL && !script->gateway_silent)
     tou_proxy_tick (script->gateway_proxy, now_us);
 }
@@ -449,6 +450,21 @@
   return TRUE;
 }
 
+static gboolean
+client_is_closed (Script *script, gconstpointer data)
+{
+  (void)script;
+  return ((const Client *)data)->closed;
+}
+
+static void
+run_wait_closed (Script *script, const Client *client)
+{
+  run_until (script, client_is_closed, client);
+  g_string_append_printf (script->out, "%s: %s\n", client->name,
+                          client->closed ? "closed" : "open");
+}
+
 static gboolean
 run_on_client (Script *script, char **words, const char *rest)
 {
@@ -462,11 +478,34 @@
     run_send (script, client, rest);
   if (strcmp (words[0], "query") == 0 || strcmp (words[0], "wait") == 0)
     print_answer (script, client);
+  if (strcmp (words[0], "wait-closed") == 0)
+    run_wait_closed (script, client);
   if (strcmp (words[0], "close") == 0)
     uv_close ((uv_handle_t *)&client->tcp, NULL);
   return TRUE;
 }
 
+/* The node has received the stop signal half of its grace time ago. */
+static void
+run_drain (Script *script)
+{
+  guint64 now_us = tou_clock_us ();
+
+  tou_proxy_drain (script->proxy, now_us - MIN (now_us, WAIT_US / 2));
+}
+
+/* Ends the proxy while statements are running. */
+static void
+run_end (Script *script)
+{
+  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  uv_run (&script->loop, UV_RUN_NOWAIT);
+  tou_proxy_destroy (script->proxy);
+  script->proxy = NULL;
+  script->group = NULL;
+  g_string_append (script->out, "ended\n");
+}
+
 static void
 run_sleep (Script *script, guint64 time_us)
 {
@@ -520,6 +559,10 @@
         = (guint)strtoull (words[1], NULL, 10);
   else if (strcmp (words[0], "prove") == 0)
     script->proofs_paused = strcmp (words[1], "off") == 0;
+  else if (strcmp (words[0], "drain") == 0)
+    run_drain (script);
+  else if (strcmp (words[0], "end") == 0)
+    run_end (script);
   else if (strcmp (words[0], "sleep") == 0)
     run_sleep (script, strtoull (words[1], NULL, 10) * TOU_US_PER_MS);
   else if (!run_on_database (script, words, rest)
@@ -546,7 +589,8 @@
   gpointer value;
 
   uv_close ((uv_handle_t *)&script->timer, NULL);
-  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  if (script->proxy != NULL)
+    uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
   g_hash_table_iter_init (&iter, script->clients);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!uv_is_closing ((uv_handle_t *)&((Client *)value)->tcp))
