--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -52,8 +52,7 @@
     tou_authority_prove_by_store (
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
-  if (script->proxy != NULL)
-    tou_proxy_tick (script->proxy, now_us);
+  tou_proxy_tick (script->proxy, now_us);
   if (script->gateway_proxy != NULL && !script->gateway_silent)
     tou_proxy_tick (script->gateway_proxy, now_us);
 }
@@ -494,16 +493,19 @@
   tou_proxy_drain (script->proxy, now_us - MIN (now_us, WAIT_US / 2));
 }
 
-/* Ends the proxy while statements are running. */
+/* Ends the node while statements are running, and starts it again. */
 static void
-run_end (Script *script)
+run_restart_node (Script *script)
 {
+  TouNodeSettings settings = script->proxy->settings;
+
   uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
   uv_run (&script->loop, UV_RUN_NOWAIT);
   tou_proxy_destroy (script->proxy);
-  script->proxy = NULL;
+  tou_proxy_create (&script->proxy, &script->loop, &settings);
   script->group = NULL;
-  g_string_append (script->out, "ended\n");
+  if (tou_proxy_listen (script->proxy) != TOU_OK)
+    g_string_append_printf (script->out, "%s\n", tou_status_message ());
 }
 
 static void
@@ -561,8 +563,8 @@
     script->proofs_paused = strcmp (words[1], "off") == 0;
   else if (strcmp (words[0], "drain") == 0)
     run_drain (script);
-  else if (strcmp (words[0], "end") == 0)
-    run_end (script);
+  else if (strcmp (words[0], "restart-node") == 0)
+    run_restart_node (script);
   else if (strcmp (words[0], "sleep") == 0)
     run_sleep (script, strtoull (words[1], NULL, 10) * TOU_US_PER_MS);
   else if (!run_on_database (script, words, rest)
@@ -589,8 +591,7 @@
   gpointer value;
 
   uv_close ((uv_handle_t *)&script->timer, NULL);
-  if (script->proxy != NULL)
-    uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
   g_hash_table_iter_init (&iter, script->clients);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!uv_is_closing ((uv_handle_t *)&((Client *)value)->tcp))
