Drop a promotion order that is not sent before the lease ends

Cause: the call was given up after 1.5 s, longer than the lease may last, and its connection was closed normally, so that the kernel went on sending the bytes. Ruled out: the record's write, which fails without the lease, and a second call.

The call ends with the lease at the latest.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -216,7 +216,7 @@
       plat_store_request_promotion (
           control->store, &state->group->name, &action->endpoint,
           &control->proxy->settings.node, control->token,
-          control_on_promotion_answer, state);
+          control->lease_until_us - now_us, control_on_promotion_answer, state);
       break;
     case TOU_HANDOVER_NONE:
       break;
