Use one function to write the panel

The check of a restored store repeated the write of control-panel.c. Behaviour is unchanged: a panel is written under the leader's key and in place of the revision that the caller names.

--- a/src/session/control-panel.c
+++ b/src/session/control-panel.c
@@ -35,13 +35,13 @@
   g_free (write);
 }
 
-static void
-control_write_panel (TouControl *control, const TouPanel *panel)
+void
+tou_control_write_panel (TouControl *control, const TouPanel *panel,
+                         guint64 replaced)
 {
   char *value = tou_panel_encode (panel);
-  PlatStoreCondition conditions[]
-      = { { CONTROL_PANEL_KEY, control->proxy->panel.revision },
-          { CONTROL_LEADER_KEY, control->token } };
+  PlatStoreCondition conditions[] = { { CONTROL_PANEL_KEY, replaced },
+                                      { CONTROL_LEADER_KEY, control->token } };
   PlatStoreChange change
       = { conditions, G_N_ELEMENTS (conditions), CONTROL_PANEL_KEY, value, 0 };
   ControlPanelWrite *write = g_new0 (ControlPanelWrite, 1);
@@ -96,13 +96,13 @@
       panel = control->proxy->panel;
       panel.joint = FALSE;
       panel.n_previous = 0;
-      control_write_panel (control, &panel);
+      tou_control_write_panel (control, &panel, control->proxy->panel.revision);
       return;
     }
   nodes = tou_peers_nodes (control->peers, now_us);
   if (tou_panel_choose (&panel, &control->proxy->panel,
                         (const TouGatewayNode *)(void *)nodes->data,
                         nodes->len))
-    control_write_panel (control, &panel);
+    tou_control_write_panel (control, &panel, control->proxy->panel.revision);
   g_array_unref (nodes);
 }
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -38,7 +38,7 @@
   guint64 retry_after_us;
   TouPanel stored_panel; /* latest one read from or written to the store */
   gboolean has_mark;     /* the store has the key of marked_era */
-  gboolean writing;      /* the panel or the mark is being written */
+  gboolean writing;      /* the mark is being written */
 } ControlRestore;
 
 struct TouControl
@@ -127,6 +127,13 @@
 /** TRUE if this node leads and the store's records are checked. */
 gboolean tou_control_may_act (const TouControl *control, guint64 now_us);
 
+/**
+ * Writes @a panel in place of the one with the revision @a replaced, and adopts
+ * it on success.
+ */
+void tou_control_write_panel (TouControl *control, const TouPanel *panel,
+                              guint64 replaced);
+
 /**
  * Changes the panel while this node is the leader: replaces members that have
  * failed, and completes a change once the previous panel is obsolete.
--- a/src/session/control-restore.c
+++ b/src/session/control-restore.c
@@ -202,52 +202,17 @@
   return TRUE;
 }
 
-typedef struct
-{
-  TouControl *control;
-  TouPanel panel;
-} RestorePanelWrite;
-
-static void
-restore_on_panel_written (gpointer user_data, const PlatStoreReply *reply)
-{
-  RestorePanelWrite *write = user_data;
-  TouControl *control = write->control;
-
-  tou_control_count_reply (control, reply, "restore_panel");
-  control->restore.writing = FALSE;
-  if (reply->result == PLAT_STORE_OK)
-    {
-      write->panel.revision = reply->revision;
-      tou_control_store_panel (control, &write->panel);
-    }
-  g_free (write);
-}
-
 /* @return TRUE if the store may lack a later panel */
 static gboolean
 restore_panel (TouControl *control)
 {
   const TouPanel *known = &control->proxy->panel;
   TouPanel stored = restore_stored_panel (control);
-  PlatStoreCondition conditions[] = { { CONTROL_PANEL_KEY, stored.revision },
-                                      { CONTROL_LEADER_KEY, control->token } };
-  PlatStoreChange change
-      = { conditions, G_N_ELEMENTS (conditions), CONTROL_PANEL_KEY, NULL, 0 };
-  RestorePanelWrite *write;
-  char *value;
 
   if (known->revision == 0 || tou_panel_equal (known, &stored)
       || tou_panel_follows (&stored, known))
     return FALSE;
-  value = tou_panel_encode (known);
-  change.value = value;
-  write = g_new0 (RestorePanelWrite, 1);
-  write->control = control;
-  write->panel = *known;
-  control->restore.writing = TRUE;
-  plat_store_change (control->store, &change, restore_on_panel_written, write);
-  free (value);
+  tou_control_write_panel (control, known, stored.revision);
   return TRUE;
 }
 
@@ -296,7 +261,7 @@
 
   if (!tou_control_leads (control, now_us) || tou_control_is_marked (control)
       || control->must_list || control->listing || control->restore.writing
-      || now_us < control->restore.retry_after_us)
+      || control->writing_panel || now_us < control->restore.retry_after_us)
     return;
   control->restore.retry_after_us = now_us + RESTORE_RETRY_US;
   g_hash_table_iter_init (&iter, control->proxy->groups);
