--- a/tests/test-discard.c
+++ b/tests/test-discard.c
@@ -86,6 +86,7 @@
   uv_close ((uv_handle_t *)&server.listener, NULL);
   plat_http_destroy (http);
   uv_run (&server.loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&server.loop), 0);
   g_free (url);
 }
 
