Do not take a primary that started anew for one that stepped down

The selection with synchronous replicas ends early if the old primary is a replica by now and the candidate has its position. A database that starts anew under its id is a replica at position 0, so any candidate has that, also one without commits that another replica, not heard yet, has acknowledged.

The old primary counts only after the leader has asked it to step down.

--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -362,7 +362,8 @@
       = handover_find_endpoint (view, &view->record.primary);
   guint n_unheard = 0;
 
-  if (primary != NULL && primary->usable
+  /* One that was not asked to step down has started anew, without its log. */
+  if (primary != NULL && primary->usable && handover->step_down_requested
       && primary->status_us >= handover->quiesced_us
       && primary->role == TOU_ROLE_REPLICA
       && tou_log_pos_compare (best->received, primary->received) >= 0)
