Count logs of unregistered databases before a promotion

Cause: the selection waits for replicas that may have acknowledged commits, but counted them among the registered endpoints, which become fewer when a registration expires, when a replica has drained, and when a new leader starts. Ruled out: the order of positions, the proof of the record, and a replica that answers too late, since in each case all endpoints in the view had answered.

The leader now keeps the logs that may have acknowledged commits in tou/logs/GROUP. One that has ended is removed once as many replicas as acknowledge a commit have received the position that the primary had afterwards; until then it counts as not heard. So any candidate that the rule allows has met a holder of each commit. A replica that started while the store was away is not known to anybody; the selection therefore begins when every running database has had time to register since the store was last unavailable. A log will not return if its database has been missing from the registry for the drain time, outages of the store not counted, or has started anew. If no log, the primary's included, will return that the rule waits for, the best candidate is taken, and the log line says that commits may be lost.

Without synchronous replicas nothing is stored and no decision changes.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -13,6 +13,8 @@
 /* The registry updates a role some time after the promotion. A recorded primary
    that is registered as a replica is accepted for this long. */
 #define CONTROL_ROLE_DELAY_US (3 * TOU_US_PER_S)
+/* Interval of status requests that show which logs are no longer needed. */
+#define CONTROL_LOG_CHECK_INTERVAL_US (500 * TOU_US_PER_MS)
 
 static void
 control_fill_endpoint (TouHandoverEndpoint *out, const TouEndpoint *endpoint)
@@ -95,6 +97,7 @@
       if (!endpoint->removed)
         control_fill_endpoint (&out->endpoints[out->n_endpoints++], endpoint);
     }
+  tou_control_fill_logs (state, out, now_us);
 }
 
 /* A record being written. It is adopted on success, before the watch returns
@@ -249,9 +252,10 @@
 }
 
 static void
-control_request_statuses (ControlGroup *state, guint64 now_us)
+control_request_statuses (ControlGroup *state, guint64 interval_us,
+                          guint64 now_us)
 {
-  if (now_us < state->status_requested_us + CONTROL_STATUS_INTERVAL_US)
+  if (now_us < state->status_requested_us + interval_us)
     return;
   state->status_requested_us = now_us;
   for (guint i = 0; i < state->group->endpoints->len; i++)
@@ -268,14 +272,18 @@
 {
   TouHandoverView view;
   TouHandoverAction action;
+  gboolean checks_logs = tou_control_run_logs (state, now_us);
 
   control_fill_view (state, &view, now_us);
   if (view.n_endpoints == 0)
     return;
   tou_handover_step (state->handover, &view, now_us, &action);
   control_execute (state, &action, &view, now_us);
+  tou_control_report_logs (state, &view, now_us);
   if (tou_handover_is_active (state->handover) || view.record.revision == 0)
-    control_request_statuses (state, now_us);
+    control_request_statuses (state, CONTROL_STATUS_INTERVAL_US, now_us);
+  else if (checks_logs)
+    control_request_statuses (state, CONTROL_LOG_CHECK_INTERVAL_US, now_us);
   control_step_down_former (state, now_us);
 }
 
@@ -290,6 +298,7 @@
   state->control = control;
   state->group = group;
   tou_handover_create (&state->handover);
+  tou_control_init_logs (&state->logs);
   g_hash_table_insert (control->groups, &group->name, state);
   return state;
 }
--- /dev/null
+++ b/src/session/control-logs.c
@@ -0,0 +1,328 @@
+#include "control-private.h"
+
+#include "revision.h"
+
+/* Pause after a write of a set, or a failed one. */
+#define LOGS_RETRY_US (200 * TOU_US_PER_MS)
+/* Interval between log lines while a selection waits. */
+#define LOGS_REPORT_US TOU_US_PER_S
+
+void
+tou_control_init_logs (ControlLogs *logs)
+{
+  tou_log_set_create (&logs->known);
+  tou_log_set_create (&logs->stored);
+  tou_log_set_create (&logs->ended);
+}
+
+void
+tou_control_clear_logs (ControlLogs *logs)
+{
+  tou_log_set_destroy (logs->known);
+  tou_log_set_destroy (logs->stored);
+  tou_log_set_destroy (logs->ended);
+}
+
+static TouLog
+logs_of_endpoint (const TouEndpoint *endpoint)
+{
+  TouLog log = { endpoint->info.id, endpoint->info.started_ms };
+
+  return log;
+}
+
+static void
+logs_copy (TouLogSet *to, const TouLogSet *from)
+{
+  tou_log_set_clear (to);
+  tou_log_set_add_all (to, from);
+}
+
+void
+tou_control_store_logs (ControlGroup *state, const PlatStoreItem *item)
+{
+  ControlLogs *logs = &state->logs;
+  gboolean restored = tou_revision_era (item->revision)
+                      != tou_revision_era (logs->stored_revision);
+
+  if (item->deleted || item->revision <= logs->stored_revision)
+    return;
+  if (tou_log_set_decode (logs->stored, &item->value) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_STATE, "logs_unreadable",
+                 "\"group\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
+                 state->group->name.data, item->revision);
+      return;
+    }
+  logs->stored_revision = item->revision;
+  /* A set that was restored from a copy may lack logs that were added since. */
+  if (restored)
+    tou_log_set_add_all (logs->known, logs->stored);
+  else
+    logs_copy (logs->known, logs->stored);
+}
+
+/* TRUE if the log does not exist any more, or will not return as far as the
+   registry tells: the database has been missing from it for the time in which
+   one that leaves ends, not counting outages of the store. */
+static gboolean
+logs_has_ended (const ControlGroup *state, const TouLog *log, guint64 now_us)
+{
+  const TouControl *control = state->control;
+  const TouEndpoint *endpoint
+      = g_hash_table_lookup (control->proxy->endpoints, &log->endpoint);
+  guint64 missing_since_us = control->synced_us;
+
+  if (endpoint != NULL && endpoint->info.started_ms > log->started_ms)
+    return TRUE;
+  if (endpoint != NULL)
+    missing_since_us = endpoint->missing_since_us;
+  if (missing_since_us == 0)
+    return FALSE;
+  return now_us >= MAX (missing_since_us, control->store_back_us)
+                       + control->proxy->settings.drain_us;
+}
+
+static gboolean
+logs_is_in_view (const ControlGroup *state, const TouHandoverView *view,
+                 const TouLog *log)
+{
+  const TouEndpoint *endpoint
+      = g_hash_table_lookup (state->control->proxy->endpoints, &log->endpoint);
+
+  if (endpoint == NULL || endpoint->info.started_ms != log->started_ms)
+    return FALSE;
+  for (guint i = 0; i < view->n_endpoints; i++)
+    if (tou_name_equal (&view->endpoints[i].id, &log->endpoint))
+      return TRUE;
+  return FALSE;
+}
+
+void
+tou_control_fill_logs (const ControlGroup *state, TouHandoverView *view,
+                       guint64 now_us)
+{
+  const TouControl *control = state->control;
+  TouLog primary = { view->record.primary, 0 };
+  gboolean primary_known = FALSE;
+
+  view->registry_complete = tou_handover_is_registry_complete (
+      MAX (control->synced_us, control->store_back_us), now_us);
+  view->primary_ended = TRUE;
+  for (guint i = 0; i < tou_log_set_size (state->logs.known); i++)
+    {
+      const TouLog *log = tou_log_set_get (state->logs.known, i);
+      gboolean ended = logs_has_ended (state, log, now_us);
+
+      if (tou_name_equal (&log->endpoint, &view->record.primary))
+        {
+          primary_known = TRUE;
+          view->primary_ended = view->primary_ended && ended;
+        }
+      else if (!logs_is_in_view (state, view, log))
+        {
+          view->n_absent++;
+          view->n_ended += ended;
+        }
+    }
+  if (!primary_known)
+    view->primary_ended = logs_has_ended (state, &primary, now_us);
+}
+
+/* Adds the logs of the group's registered databases. */
+static void
+logs_add_registered (const ControlGroup *state, TouLogSet *out)
+{
+  const TouGroupRecord *record = tou_authority_record (state->group->authority);
+  const GPtrArray *endpoints = state->group->endpoints;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      TouLog log = logs_of_endpoint (endpoint);
+
+      if (endpoint->missing_since_us != 0)
+        continue;
+      /* A recorded primary that has started anew receives nothing until another
+         one is promoted. */
+      if (tou_name_equal (&log.endpoint, &record->primary)
+          && tou_log_set_has_endpoint (out, &log.endpoint))
+        continue;
+      tou_log_set_add (out, &log);
+    }
+}
+
+static guint
+logs_collect_statuses (const ControlGroup *state, TouLogStatus *out)
+{
+  const TouGroupRecord *record = tou_authority_record (state->group->authority);
+  const GPtrArray *endpoints = state->group->endpoints;
+  guint n = 0;
+
+  for (guint i = 0; i < endpoints->len && n < TOU_GROUP_MAX_ENDPOINTS; i++)
+    {
+      const TouEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (endpoint->missing_since_us != 0)
+        continue;
+      out[n].status_us = endpoint->status_us;
+      out[n].received = endpoint->status.received;
+      out[n].primary = endpoint->status.role == TOU_ROLE_PRIMARY
+                       && endpoint->status.term == record->term;
+      n++;
+    }
+  return n;
+}
+
+/* Updates the logs that have ended. A check of fewer logs does not hold for the
+   others, so it is repeated. */
+static void
+logs_find_ended (ControlGroup *state, guint64 now_us)
+{
+  ControlLogs *logs = &state->logs;
+  TouLogSet *ended;
+
+  tou_log_set_create (&ended);
+  for (guint i = 0; i < tou_log_set_size (logs->known); i++)
+    {
+      const TouLog *log = tou_log_set_get (logs->known, i);
+
+      if (logs_has_ended (state, log, now_us))
+        tou_log_set_add (ended, log);
+    }
+  if (!tou_log_set_equal (ended, logs->ended))
+    {
+      logs_copy (logs->ended, ended);
+      tou_log_check_start (&logs->check, now_us);
+    }
+  tou_log_set_destroy (ended);
+}
+
+/* TRUE if the logs that have ended are no longer needed. */
+static gboolean
+logs_may_remove_ended (ControlGroup *state)
+{
+  TouLogStatus statuses[TOU_GROUP_MAX_ENDPOINTS];
+  guint n = logs_collect_statuses (state, statuses);
+
+  return tou_log_check_report (&state->logs.check, statuses, n,
+                               state->group->limits.sync_replicas);
+}
+
+/* The logs to store: the known ones, without those that are no longer needed,
+   and those of registered databases. */
+static void
+logs_select (ControlGroup *state, gboolean without_ended, TouLogSet *out)
+{
+  const ControlLogs *logs = &state->logs;
+
+  for (guint i = 0; i < tou_log_set_size (logs->known); i++)
+    {
+      const TouLog *log = tou_log_set_get (logs->known, i);
+
+      if (!without_ended || !tou_log_set_contains (logs->ended, log))
+        tou_log_set_add (out, log);
+    }
+  logs_add_registered (state, out);
+}
+
+/* A set being written. It is used on success, before the watch returns it. */
+typedef struct
+{
+  ControlGroup *state;
+  TouLogSet *set;
+  guint64 era; /* in which it was sent */
+} LogsWrite;
+
+static void
+logs_on_written (gpointer user_data, const PlatStoreReply *reply)
+{
+  LogsWrite *write = user_data;
+  ControlLogs *logs = &write->state->logs;
+
+  tou_control_count_reply (write->state->control, reply, "write_logs");
+  logs->writing = FALSE;
+  logs->retry_after_us = tou_clock_us () + LOGS_RETRY_US;
+  if (reply->result == PLAT_STORE_OK
+      && tou_revision_era (reply->revision) == write->era
+      && reply->revision > logs->stored_revision)
+    {
+      logs->stored_revision = reply->revision;
+      logs_copy (logs->stored, write->set);
+      logs_copy (logs->known, write->set);
+    }
+  tou_log_set_destroy (write->set);
+  g_free (write);
+}
+
+/* Takes ownership of @a set. */
+static void
+logs_write (ControlGroup *state, TouLogSet *set)
+{
+  TouControl *control = state->control;
+  ControlLogs *logs = &state->logs;
+  char *key = g_strconcat (CONTROL_LOGS_PREFIX, state->group->name.data, NULL);
+  char *value = tou_log_set_encode (set);
+  guint64 replaced = tou_revision_era (logs->stored_revision) == control->era
+                         ? logs->stored_revision
+                         : 0;
+  PlatStoreCondition conditions[]
+      = { { key, replaced }, { CONTROL_LEADER_KEY, control->token } };
+  PlatStoreChange change
+      = { conditions, G_N_ELEMENTS (conditions), key, value, 0 };
+  LogsWrite *write = g_new0 (LogsWrite, 1);
+
+  tou_evlog (TOU_EVLOG_STATE, "logs", "\"group\":\"%s\",\"logs\":%s",
+             state->group->name.data, value);
+  write->state = state;
+  write->set = set;
+  write->era = control->era;
+  logs->writing = TRUE;
+  plat_store_change (control->store, &change, logs_on_written, write);
+  g_free (key);
+  free (value);
+}
+
+gboolean
+tou_control_run_logs (ControlGroup *state, guint64 now_us)
+{
+  ControlLogs *logs = &state->logs;
+  TouLogSet *next;
+  gboolean checks;
+
+  if (state->group->limits.sync_replicas == 0 || logs->writing
+      || now_us < logs->retry_after_us)
+    return FALSE;
+  logs_find_ended (state, now_us);
+  /* During a change of primary, nothing shows which logs are needed. */
+  checks = tou_log_set_size (logs->ended) > 0
+           && !tou_authority_record (state->group->authority)->moving;
+  if (!checks)
+    tou_log_check_start (&logs->check, now_us);
+  tou_log_set_create (&next);
+  logs_select (state, checks && logs_may_remove_ended (state), next);
+  /* Logs that are not stored yet count as well. */
+  tou_log_set_add_all (logs->known, next);
+  if (tou_log_set_equal (next, logs->stored)
+      && tou_revision_era (logs->stored_revision) == state->control->era)
+    tou_log_set_destroy (next);
+  else
+    logs_write (state, next);
+  return checks;
+}
+
+void
+tou_control_report_logs (ControlGroup *state, const TouHandoverView *view,
+                         guint64 now_us)
+{
+  if (!tou_handover_awaits_logs (state->handover)
+      || now_us < state->logs.logged_us + LOGS_REPORT_US)
+    return;
+  state->logs.logged_us = now_us;
+  tou_evlog (TOU_EVLOG_STATE, "handover_waits",
+             "\"group\":\"%s\",\"sync_replicas\":%u,\"registry_complete\":%s,"
+             "\"absent\":%u,\"ended\":%u,\"primary_ended\":%s",
+             state->group->name.data, view->sync_replicas,
+             view->registry_complete ? "true" : "false", view->n_absent,
+             view->n_ended, view->primary_ended ? "true" : "false");
+}
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -1,22 +1,36 @@
 /**
  * @file control-private.h
- * State of the control module, shared by control.c and control-leader.c
- * (internal).
+ * State of the control module, shared by its files (internal).
  */
 #pragma once
 
 #include "control.h"
 #include "follow.h"
 #include "handover.h"
+#include "log-set.h"
 
 G_BEGIN_DECLS
 
 /** Store keys. */
 #define CONTROL_LEADER_KEY "tou/leader"
 #define CONTROL_GROUP_PREFIX "tou/group/"
+#define CONTROL_LOGS_PREFIX "tou/logs/"
 #define CONTROL_PANEL_KEY "tou/panel"
 #define CONTROL_ERA_KEY "tou/era"
 
+/* Logs that may have acknowledged commits; see control-logs.c. */
+typedef struct
+{
+  TouLogSet *known;
+  TouLogSet *stored;       /* latest set read from or written to the store */
+  guint64 stored_revision; /* 0: none */
+  gboolean writing;
+  guint64 retry_after_us;
+  guint64 logged_us; /* last log line that the selection waits */
+  TouLogSet *ended;  /* those that have ended without being removed yet */
+  TouLogCheck check; /* of these */
+} ControlLogs;
+
 typedef struct
 {
   TouControl *control;
@@ -26,6 +40,7 @@
   guint64 step_down_us;
   TouGroupRecord stored; /* latest one read from or written to the store */
   gboolean restoring;    /* a record that the store has lost is being written */
+  ControlLogs logs;
 } ControlGroup;
 
 /* What the store had in the current era; see control-restore.c. */
@@ -49,7 +64,9 @@
   GHashTable *groups; /* TouName to ControlGroup */
 
   gboolean connected;
-  guint64 era; /* highest one of the store's responses */
+  gboolean store_out;    /* the store is unavailable to this node */
+  guint64 store_back_us; /* when the store answered again after an outage */
+  guint64 era;           /* highest one of the store's responses */
   ControlRestore restore;
   gboolean listing;
   gboolean must_list;
@@ -140,6 +157,24 @@
  */
 void tou_control_run_panel (TouControl *control, guint64 now_us);
 
+void tou_control_init_logs (ControlLogs *logs);
+void tou_control_clear_logs (ControlLogs *logs);
+/** The store has @a item, the logs of a group. */
+void tou_control_store_logs (ControlGroup *state, const PlatStoreItem *item);
+/** Fills in the fields about logs; those about endpoints are complete. */
+void tou_control_fill_logs (const ControlGroup *state, TouHandoverView *view,
+                            guint64 now_us);
+/**
+ * While this node may act, adds the logs of registered databases, and removes
+ * those that have ended and are no longer needed.
+ *
+ * @return TRUE if the databases' statuses are needed for that
+ */
+gboolean tou_control_run_logs (ControlGroup *state, guint64 now_us);
+/** Writes a log line while a selection waits for logs. */
+void tou_control_report_logs (ControlGroup *state, const TouHandoverView *view,
+                              guint64 now_us);
+
 /** Runs the changes of primary while this node is the leader. */
 void tou_control_run_groups (TouControl *control, guint64 now_us);
 
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -139,6 +139,21 @@
     control->restore.first_era = reply->era;
   control->era = reply->era;
   control->restore.era_since_us = tou_clock_us ();
+  control->store_back_us = control->restore.era_since_us;
+}
+
+/* An outage is a call without a response, unless another call had one since. */
+static void
+control_check_outage (TouControl *control, const PlatStoreReply *reply,
+                      gboolean answered)
+{
+  if (!answered && control->proxy->store_answered_us < reply->sent_us)
+    control->store_out = TRUE;
+  else if (answered && control->store_out)
+    {
+      control->store_out = FALSE;
+      control->store_back_us = tou_clock_us ();
+    }
 }
 
 void
@@ -149,6 +164,7 @@
                       && reply->result != PLAT_STORE_UNKNOWN;
 
   control_check_era (control, reply, call);
+  control_check_outage (control, reply, answered);
   TOU_COUNT (control->proxy, STORE_CALLS);
   if (answered)
     control->proxy->store_answered_us = tou_clock_us ();
@@ -297,6 +313,15 @@
       &record);
 }
 
+static void
+control_on_logs (TouControl *control, const PlatStoreItem *item)
+{
+  TouName name = tou_name (item->key + strlen (CONTROL_LOGS_PREFIX));
+
+  tou_control_store_logs (
+      tou_control_group (control, tou_group_get (control->proxy, &name)), item);
+}
+
 static void
 control_on_leader (TouControl *control, const PlatStoreItem *item)
 {
@@ -345,11 +370,13 @@
   tou_control_mark (control, era);
 }
 
-/* Group records are sent by the leader, and registrations of nodes may wait. */
+/* Group records are sent by the leader. Registrations of nodes and sets of logs
+   may wait. */
 static gboolean
 control_is_urgent (const PlatStoreItem *item)
 {
   return !g_str_has_prefix (item->key, CONTROL_NODE_PREFIX)
+         && !g_str_has_prefix (item->key, CONTROL_LOGS_PREFIX)
          && !g_str_has_prefix (item->key, CONTROL_GROUP_PREFIX);
 }
 
@@ -367,6 +394,8 @@
     control_on_node (control, item);
   else if (g_str_has_prefix (item->key, CONTROL_GROUP_PREFIX))
     control_on_group (control, item);
+  else if (g_str_has_prefix (item->key, CONTROL_LOGS_PREFIX))
+    control_on_logs (control, item);
   else if (strcmp (item->key, CONTROL_LEADER_KEY) == 0)
     control_on_leader (control, item);
   else if (strcmp (item->key, CONTROL_PANEL_KEY) == 0)
@@ -962,6 +991,7 @@
   ControlGroup *state = data;
 
   tou_handover_destroy (state->handover);
+  tou_control_clear_logs (&state->logs);
   g_free (state);
 }
 
--- a/src/session/control.h
+++ b/src/session/control.h
@@ -6,7 +6,8 @@
  *
  * Keys written: "tou/node/NAME" (address), "tou/leader" (name of the leader,
  * with a lease), "tou/group/NAME" (record of a group), "tou/panel" (nodes that
- * prove records), "tou/era" (era of the store whose records are checked).
+ * prove records), "tou/era" (era of the store whose records are checked),
+ * "tou/logs/NAME" (logs of a group with synchronous replicas, see log-set.h).
  */
 #pragma once
 
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -42,6 +42,7 @@
   guint64 quiesced_us;  /* since then no node uses the old primary */
   guint64 ordered_us;
   gboolean step_down_requested;
+  gboolean awaits_logs; /* CHOOSE */
   guint64 step_down_us;
   TouName candidate;
   TouName rejected;
@@ -55,6 +56,12 @@
          || now_us < missing_since_us + HANDOVER_MISSING_GRACE_US;
 }
 
+gboolean
+tou_handover_is_registry_complete (guint64 available_since_us, guint64 now_us)
+{
+  return now_us >= available_since_us + HANDOVER_MISSING_GRACE_US;
+}
+
 int
 tou_handover_create (TouHandover **out)
 {
@@ -80,6 +87,12 @@
   return handover->step != HANDOVER_IDLE;
 }
 
+gboolean
+tou_handover_awaits_logs (const TouHandover *handover)
+{
+  return handover->step == HANDOVER_CHOOSE && handover->awaits_logs;
+}
+
 const char *
 tou_handover_step_name (const TouHandover *handover)
 {
@@ -351,23 +364,34 @@
   return best;
 }
 
-/* Returns FALSE if a commit may have been acknowledged because replicas have
-   received it that have not answered since no node uses the old primary. */
-static gboolean
-handover_has_all_acknowledged (const TouHandover *handover,
-                               const TouHandoverView *view,
-                               const TouHandoverEndpoint *best, guint64 now_us)
+/* Whether a candidate has all acknowledged commits. */
+typedef enum
+{
+  HANDOVER_HAS_ALL,
+  HANDOVER_MAY_LACK, /* logs that may have more of them can still return */
+  HANDOVER_LACKS     /* none of these logs will return */
+} HandoverCompleteness;
+
+/* A commit may have been acknowledged because replicas have received it that
+   have not answered since no node uses the old primary. */
+static HandoverCompleteness
+handover_check_completeness (const TouHandover *handover,
+                             const TouHandoverView *view,
+                             const TouHandoverEndpoint *best, guint64 now_us)
 {
   const TouHandoverEndpoint *primary
       = handover_find_endpoint (view, &view->record.primary);
-  guint n_unheard = 0;
+  guint n_unheard = view->n_absent;
 
   /* One that was not asked to step down has started anew, without its log. */
-  if (primary != NULL && primary->usable && handover->step_down_requested
-      && primary->status_us >= handover->quiesced_us
-      && primary->role == TOU_ROLE_REPLICA
-      && tou_log_pos_compare (best->received, primary->received) >= 0)
-    return TRUE;
+  if (view->sync_replicas == 0
+      || (primary != NULL && primary->usable && handover->step_down_requested
+          && primary->status_us >= handover->quiesced_us
+          && primary->role == TOU_ROLE_REPLICA
+          && tou_log_pos_compare (best->received, primary->received) >= 0))
+    return HANDOVER_HAS_ALL;
+  if (!view->registry_complete)
+    return HANDOVER_MAY_LACK;
   for (guint i = 0; i < view->n_endpoints; i++)
     {
       const TouHandoverEndpoint *endpoint = &view->endpoints[i];
@@ -377,7 +401,10 @@
               || handover_was_rejected (handover, endpoint, now_us)))
         n_unheard++;
     }
-  return n_unheard < view->sync_replicas;
+  if (n_unheard < view->sync_replicas)
+    return HANDOVER_HAS_ALL;
+  return view->primary_ended && n_unheard == view->n_ended ? HANDOVER_LACKS
+                                                           : HANDOVER_MAY_LACK;
 }
 
 /* Returns TRUE while the old primary has not stepped down, or has commits that
@@ -425,8 +452,10 @@
 {
   gboolean waiting;
   const TouHandoverEndpoint *best;
+  HandoverCompleteness completeness;
   TouGroupRecord record = view->record;
 
+  handover->awaits_logs = FALSE;
   if (handover_publish (handover, view, NULL, out)
       || handover_use_returned_primary (handover, view, now_us, out)
       || handover_repeat_step_down (handover, view, now_us, out))
@@ -436,12 +465,17 @@
       || (waiting && now_us < handover->quiesced_us + HANDOVER_STATUS_WAIT_US)
       || handover_must_catch_up (handover, view, best, now_us))
     return;
-  if (view->sync_replicas > 0
-      && !handover_has_all_acknowledged (handover, view, best, now_us))
+  completeness = handover_check_completeness (handover, view, best, now_us);
+  handover->awaits_logs = completeness == HANDOVER_MAY_LACK;
+  if (handover->awaits_logs)
     return;
   handover->candidate = best->id;
   record.candidate = best->id;
-  handover_write (handover, &record, HANDOVER_ORDERING, "candidate", out);
+  handover_write (handover, &record, HANDOVER_ORDERING,
+                  completeness == HANDOVER_LACKS
+                      ? "candidate; acknowledged commits may be lost"
+                      : "candidate",
+                  out);
 }
 
 static void
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -10,7 +10,9 @@
  *
  * With synchronous replicas, the selection waits until the positions show that
  * the replica has every acknowledged commit, and draining replicas, which
- * receive commits as well, may be selected.
+ * receive commits as well, may be selected. A log that may have acknowledged
+ * commits (see log-set.h) is waited for also while its database is not
+ * registered, until the registry shows that it will not return.
  */
 #pragma once
 
@@ -49,6 +51,13 @@
       nodes_uncertain; /**< n_nodes may not include all nodes with proofs */
   /** A majority of the voters no longer proves an earlier record. */
   gboolean majority_has_record;
+  /** Every running database has had time to register since the store was last
+      unavailable. */
+  gboolean registry_complete;
+  guint n_absent; /**< logs of the set, except the primary's, whose databases
+                     are not in endpoints */
+  guint n_ended;  /**< those of n_absent that will not return */
+  gboolean primary_ended; /**< the primary's log will not return */
   guint n_endpoints;
   TouHandoverEndpoint endpoints[TOU_GROUP_MAX_ENDPOINTS];
 } TouHandoverView;
@@ -78,6 +87,15 @@
  */
 gboolean tou_handover_is_registered (guint64 missing_since_us, guint64 now_us);
 
+/**
+ * Returns TRUE if every running database has had time to register: some cannot
+ * while the store is unavailable.
+ *
+ * @param available_since_us since when the store answers
+ */
+gboolean tou_handover_is_registry_complete (guint64 available_since_us,
+                                            guint64 now_us);
+
 typedef struct TouHandover TouHandover;
 
 int tou_handover_create (TouHandover **out);
@@ -109,6 +127,12 @@
 /** Returns TRUE while statuses of all endpoints are needed every few ms. */
 gboolean tou_handover_is_active (const TouHandover *handover);
 
+/**
+ * Returns TRUE while the selection waits for logs that may have acknowledged
+ * commits which the best candidate lacks.
+ */
+gboolean tou_handover_awaits_logs (const TouHandover *handover);
+
 /** Returns the name of the current step, for logs. */
 const char *tou_handover_step_name (const TouHandover *handover);
 
--- a/tests/control/control-fleet.c
+++ b/tests/control/control-fleet.c
@@ -7,6 +7,7 @@
 #define WAIT_US (20 * TOU_US_PER_S)
 #define CONFIG_APPLY_US (3 * TOU_US_PER_S)
 #define LEASE_MIN_US TOU_US_PER_S
+#define DRAIN_US (7 * TOU_US_PER_S)
 
 static void
 fleet_on_timer (uv_timer_t *timer)
@@ -73,6 +74,7 @@
   settings.peers_listen = tou_name ("127.0.0.1:0");
   settings.config_apply_us = CONFIG_APPLY_US;
   settings.lease_min_us = LEASE_MIN_US;
+  settings.drain_us = DRAIN_US;
   g_assert_cmpint (plat_http_create (&node->http, &fleet->loop), ==, TOU_OK);
   g_assert_cmpint (plat_store_create (&node->store, node->http, name, name), ==,
                    TOU_OK);
@@ -109,6 +111,32 @@
   g_free (text);
 }
 
+void
+fleet_configure_group (ControlFleet *fleet, guint64 version)
+{
+  char *text = g_strdup_printf (
+      "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[],\"services\":"
+      "[{\"name\":\"g\",\"maxConns\":20,\"syncReplicas\":1}],\"limits\":{}}",
+      version);
+
+  kv_put (fleet->kv, "op/config", text);
+  g_free (text);
+}
+
+void
+fleet_register (ControlFleet *fleet, const char *id, const char *role)
+{
+  char *key = g_strconcat ("servers/", id, NULL);
+  char *text = g_strdup_printf (
+      "{\"service\":\"g\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+      "\"capacity\":1,\"state\":\"ready\",\"dbRole\":\"%s\",\"born\":1000}",
+      role);
+
+  kv_put (fleet->kv, key, text);
+  g_free (key);
+  g_free (text);
+}
+
 void
 fleet_put_record (ControlFleet *fleet, guint64 term)
 {
--- a/tests/control/control-fleet.h
+++ b/tests/control/control-fleet.h
@@ -46,6 +46,10 @@
 
 /** Writes a configuration without routes. */
 void fleet_configure (ControlFleet *fleet, guint64 version);
+/** Writes one with the group "g", whose commits wait for one replica. */
+void fleet_configure_group (ControlFleet *fleet, guint64 version);
+/** Registers a database of the group "g"; it does not answer. */
+void fleet_register (ControlFleet *fleet, const char *id, const char *role);
 /** Writes the record of the group "g"; its primary is "dbTERM". */
 void fleet_put_record (ControlFleet *fleet, guint64 term);
 
--- a/tests/control/kv-standin.c
+++ b/tests/control/kv-standin.c
@@ -538,6 +538,14 @@
   g_free (text);
 }
 
+void
+kv_remove (KvStandin *kv, const char *key)
+{
+  kv->state.revision++;
+  kv_change (kv, key, NULL, 0);
+  kv_notify (kv);
+}
+
 char *
 kv_get (const KvStandin *kv, const char *key)
 {
--- a/tests/control/kv-standin.h
+++ b/tests/control/kv-standin.h
@@ -24,6 +24,8 @@
 
 /** Writes a key as the operator, a database or an earlier process would. */
 void kv_put (KvStandin *kv, const char *key, const char *value);
+/** Removes a key, as the store does when a registration expires. */
+void kv_remove (KvStandin *kv, const char *key);
 /** Returns the value of a key, or NULL; free with g_free(). */
 char *kv_get (const KvStandin *kv, const char *key);
 /** When the key was last written by a node, or 0. */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -5,6 +5,7 @@
 #include "freshness.h"
 #include "gateway.h"
 #include "handover.h"
+#include "log-set.h"
 #include "panel.h"
 #include "values.h"
 #include "window.h"
@@ -34,6 +35,9 @@
   TouPanel panel;
   TouFollow follow;
   GArray *watches; /* of TouWatch */
+  TouLogSet *logs;
+  TouLogCheck log_check;
+  GArray *log_statuses; /* of TouLogStatus */
 } Script;
 
 typedef struct
@@ -638,6 +642,61 @@
   return TRUE;
 }
 
+static void
+put_logs (Script *script)
+{
+  char *text = tou_log_set_encode (script->logs);
+
+  g_string_append_printf (script->out, "%s\n", text);
+  free (text);
+}
+
+static gboolean
+run_logs (Script *script, const Command *command)
+{
+  TouLog log = { tou_name (arg (command, 1)), arg_number (command, 2) };
+  TouLogStatus status;
+
+  if (arg_is (command, 0, "log-add"))
+    {
+      put_yes_no (script, command->rest, tou_log_set_add (script->logs, &log));
+      put_logs (script);
+    }
+  else if (arg_is (command, 0, "log-has"))
+    put_yes_no (script, command->rest,
+                tou_log_set_contains (script->logs, &log));
+  else if (arg_is (command, 0, "log-decode"))
+    {
+      TouStr value = { (char *)command->rest, strlen (command->rest) };
+
+      put_yes_no (script, command->rest,
+                  tou_log_set_decode (script->logs, &value) == TOU_OK);
+      put_logs (script);
+    }
+  else if (arg_is (command, 0, "log-check"))
+    tou_log_check_start (&script->log_check, arg_us (command, 1));
+  else if (arg_is (command, 0, "log-status"))
+    {
+      status.primary = arg_is (command, 1, "primary");
+      status.received = position (arg (command, 2));
+      status.status_us = arg_us (command, 3);
+      g_array_append_val (script->log_statuses, status);
+    }
+  else if (arg_is (command, 0, "log-report"))
+    {
+      put_yes_no (script, "may be removed",
+                  tou_log_check_report (
+                      &script->log_check,
+                      (const TouLogStatus *)(void *)script->log_statuses->data,
+                      script->log_statuses->len,
+                      (guint)arg_number (command, 1)));
+      g_array_set_size (script->log_statuses, 0);
+    }
+  else
+    return FALSE;
+  return TRUE;
+}
+
 static gboolean
 run_window (Script *script, const Command *command)
 {
@@ -756,6 +815,15 @@
         tou_handover_is_registered (arg_us (command, 1), arg_us (command, 2)));
   else if (arg_is (command, 0, "sync-replicas"))
     view->sync_replicas = (guint)arg_number (command, 1);
+  else if (arg_is (command, 0, "logs"))
+    {
+      view->n_absent = (guint)arg_number (command, 1);
+      view->n_ended = (guint)arg_number (command, 2);
+      view->primary_ended = arg_is (command, 3, "primary-ended");
+    }
+  else if (arg_is (command, 0, "store-back"))
+    view->registry_complete = tou_handover_is_registry_complete (
+        arg_us (command, 1), arg_us (command, 2));
   else if (arg_is (command, 0, "majority"))
     view->majority_has_record = arg_is (command, 1, "yes");
   else if (arg_is (command, 0, "uncertain"))
@@ -792,7 +860,7 @@
       && !run_freshness_and_values (script, &command)
       && !run_window (script, &command) && !run_gateway (script, &command)
       && !run_panel (script, &command) && !run_follow (script, &command)
-      && !run_handover (script, &command))
+      && !run_logs (script, &command) && !run_handover (script, &command))
     g_string_append_printf (script->out, "unknown command: %s\n", line);
   g_strfreev (words);
 }
@@ -811,6 +879,9 @@
   script.watches = g_array_new (FALSE, FALSE, sizeof (TouWatch));
   tou_follow_init (&script.follow);
   tou_handover_create (&script.handover);
+  script.view.registry_complete = TRUE;
+  tou_log_set_create (&script.logs);
+  script.log_statuses = g_array_new (FALSE, FALSE, sizeof (TouLogStatus));
   tou_values_init (&script.current);
   tou_values_init (&script.target);
   for (char **line = lines; *line != NULL; line++)
@@ -821,6 +892,8 @@
   g_array_unref (script.nodes);
   g_array_unref (script.watches);
   tou_handover_destroy (script.handover);
+  tou_log_set_destroy (script.logs);
+  g_array_unref (script.log_statuses);
   tou_values_clear (&script.current);
   tou_values_clear (&script.target);
   g_strfreev (lines);
--- /dev/null
+++ b/tests/test-logs.c
@@ -0,0 +1,160 @@
+/* Guards against acknowledged commits that are lost with synchronous replicas:
+ * a leader that does not know of a replica that has received them, because its
+ * registration expired, and selects among the others. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "control/control-fleet.h"
+
+#include "control-private.h"
+
+#include <string.h>
+
+#define NODES 3
+#define LOGS_KEY "tou/logs/g"
+#define WAIT_US (20 * TOU_US_PER_S)
+
+static gboolean
+fleet_has_log (const FleetNode *node, guint64 number)
+{
+  char *id = g_strdup_printf ("\"db%" G_GUINT64_FORMAT "\"", number);
+  char *value = kv_get (node->kv, LOGS_KEY);
+  gboolean found = value != NULL && strstr (value, id) != NULL;
+
+  g_free (value);
+  g_free (id);
+  return found;
+}
+
+/* Starts nodes, and databases of which db1 is the primary. */
+static void
+fleet_start (ControlFleet *fleet)
+{
+  fleet_init (fleet);
+  fleet_configure_group (fleet, 1);
+  for (guint i = 0; i < NODES; i++)
+    fleet_add (fleet);
+  assert_true (fleet_wait (fleet, fleet_has_mark, 0));
+  fleet_put_record (fleet, 1);
+  fleet_register (fleet, "db1", "primary");
+  fleet_register (fleet, "db2", "replica");
+  assert_true (fleet_wait (fleet, fleet_has_log, 2));
+}
+
+static void
+node_fill_view (const FleetNode *node, TouHandoverView *view)
+{
+  TouName name = tou_name ("g");
+
+  memset (view, 0, sizeof *view);
+  view->record.primary = tou_name ("db1");
+  tou_control_fill_logs (
+      tou_control_group (node->control, tou_group_get (node->proxy, &name)),
+      view, tou_clock_us ());
+}
+
+static gboolean
+fleet_counts_absent (const FleetNode *node, guint64 number)
+{
+  TouHandoverView view;
+
+  node_fill_view (node, &view);
+  return view.n_absent == number;
+}
+
+static gboolean
+fleet_counts_ended (const FleetNode *node, guint64 number)
+{
+  TouHandoverView view;
+
+  node_fill_view (node, &view);
+  return view.n_ended == number;
+}
+
+/* The nodes that have started since never saw the registration. */
+static void
+test_new_leader_knows_expired_replica (void **state)
+{
+  ControlFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  kv_remove (fleet.kv, "servers/db2");
+  for (guint i = 0; i < NODES; i++)
+    fleet_kill (&fleet, i);
+  for (guint i = 0; i < NODES; i++)
+    fleet_add (&fleet);
+  assert_true (fleet_wait (&fleet, fleet_has_leader, 0));
+  assert_true (fleet_wait (&fleet, fleet_counts_absent, 1));
+  /* It may return for some time. */
+  assert_true (
+      fleet_run_without (&fleet, 2 * TOU_US_PER_S, fleet_counts_ended, 1));
+  assert_true (fleet_wait (&fleet, fleet_counts_ended, 1));
+  /* Nothing shows that another replica has its commits. */
+  assert_true (fleet_has_log (&fleet.nodes[NODES], 2));
+  fleet_clear (&fleet);
+}
+
+/* The time in which it may return does not pass while the store is away. */
+static void
+test_outage_extends_time_to_return (void **state)
+{
+  ControlFleet fleet;
+  guint64 removed_us;
+  guint64 back_us;
+
+  (void)state;
+  fleet_start (&fleet);
+  kv_remove (fleet.kv, "servers/db2");
+  removed_us = tou_clock_us ();
+  fleet_run_without (&fleet, TOU_US_PER_S, fleet_counts_ended, 1);
+  for (guint i = 0; i < NODES; i++)
+    fleet_cut (&fleet, i, TRUE);
+  fleet_run_without (&fleet, 4 * TOU_US_PER_S, fleet_counts_ended, 1);
+  for (guint i = 0; i < NODES; i++)
+    fleet_cut (&fleet, i, FALSE);
+  back_us = tou_clock_us ();
+  assert_true (fleet_run_without (
+      &fleet, removed_us + 9 * TOU_US_PER_S - back_us, fleet_counts_ended, 1));
+  assert_true (fleet_wait (&fleet, fleet_counts_ended, 1));
+  fleet_clear (&fleet);
+}
+
+/* The restored store lacks a log that was added since the copy. */
+static void
+test_restored_set_is_completed (void **state)
+{
+  ControlFleet fleet;
+  guint64 end_us;
+
+  (void)state;
+  fleet_start (&fleet);
+  kv_backup (fleet.kv);
+  fleet_register (&fleet, "db3", "replica");
+  assert_true (fleet_wait (&fleet, fleet_has_log, 3));
+  kv_remove (fleet.kv, "servers/db3");
+  kv_restore (fleet.kv);
+  kv_remove (fleet.kv, "servers/db3");
+  end_us = tou_clock_us () + WAIT_US;
+  assert_false (fleet_has_log (&fleet.nodes[0], 3));
+  while (!fleet_has_log (&fleet.nodes[0], 3) && tou_clock_us () < end_us)
+    uv_run (&fleet.loop, UV_RUN_ONCE);
+  assert_true (fleet_has_log (&fleet.nodes[0], 3));
+  fleet_clear (&fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_new_leader_knows_expired_replica),
+    cmocka_unit_test (test_outage_extends_time_to_return),
+    cmocka_unit_test (test_restored_set_is_completed),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
