Treat a database that answers MOVED as not reachable

Cause: any data received on a connection that is being opened made the endpoint reachable, so the refusal "this is another database" ended the refusal of writes and the suspicion of the primary. Ruled out: the pause before the next connection, which was kept.

While a link is being opened, READY and other errors show that the database is there; MOVED makes the endpoint unreachable. Writes are then refused at once and their clients retry, and the primary is suspected.

Test: proxy/moved, which ended with "waited until its time-out" before.

--- a/src/session/link.c
+++ b/src/session/link.c
@@ -354,6 +354,14 @@
   if (reply->error != TOU_SQL_E_TOO_MANY_CONNECTIONS
       && link->gateway_node.len == 0)
     pause_us = LINK_REJECTED_PAUSE_US;
+  if (link->gateway_node.len == 0)
+    {
+      if (reply->error == TOU_SQL_E_MOVED)
+        tou_endpoint_set_unreachable (
+            endpoint, "another database is at its address", now_us);
+      else
+        tou_endpoint_set_reachable (endpoint, now_us);
+    }
   TOU_COUNT (endpoint->proxy, LINKS_REFUSED);
   if (link->gateway_node.len > 0 && reply->error == TOU_SQL_E_BUSY)
     {
@@ -425,8 +433,9 @@
       tou_link_close (link, "closed by the other side");
       return;
     }
-  /* A gateway's refusal does not show that the database is reachable. */
-  if (link->gateway_node.len == 0 || link->state == LINK_READY)
+  /* Until the database has accepted the link, another one, or a gateway, may be
+     answering. */
+  if (link->state == LINK_READY)
     tou_endpoint_set_reachable (link->endpoint, tou_clock_us ());
   link->received_us = tou_clock_us ();
   g_string_append_len (link->in, buf->base, n);
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -285,7 +285,11 @@
     {
       connection->started = TRUE;
       out = g_string_new (NULL);
-      put_ready (connection, out);
+      /* STARTUP group user id */
+      if (tou_slice_is (skip_word (skip_word (rest)), database->id))
+        put_ready (connection, out);
+      else
+        plat_wire_put_error (out, TOU_SQL_E_MOVED, database->id);
       tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
       g_string_free (out, TRUE);
       return;
@@ -387,6 +391,14 @@
   database->drop = TRUE;
 }
 
+void
+line_database_rename (LineDatabase *database, const char *id)
+{
+  g_free (database->id);
+  database->id = g_strdup (id);
+  line_database_restart (database);
+}
+
 void
 line_database_restart (LineDatabase *database)
 {
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -32,6 +32,12 @@
 /** Runs the next statement of a client and closes its connection. */
 void line_database_drop (LineDatabase *database);
 
+/**
+ * Gives it another id and closes all connections: it answers MOVED to those who
+ * expect the former id.
+ */
+void line_database_rename (LineDatabase *database, const char *id);
+
 /** Closes all connections, like a database that restarts. */
 void line_database_restart (LineDatabase *database);
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -434,6 +434,8 @@
     line_database_cut_set (database);
   else if (strcmp (words[0], "restart") == 0)
     line_database_restart (database);
+  else if (strcmp (words[0], "rename") == 0)
+    line_database_rename (database, words[2]);
   else if (strcmp (words[0], "hold") == 0)
     line_database_hold (database);
   else if (strcmp (words[0], "resume") == 0)
