Record a primary that returns with its log under another id

Cause: a crashed database returns at its address with its log, but under another id, as primary of the same term. The change of primary knew the old id only: it waited until that was gone and promoted a replica. Where the returned one had the highest position, it would have been the candidate, and the promotion of a present primary changes nothing, so the change would not have ended. Ruled out: a database that starts anew, which reports no position of before.

Only one database leads a term. If the recorded primary does not answer and another database leads the recorded term with the newest position that the group's databases have reported, it is recorded as primary; nothing is promoted. Once a candidate is recorded, whose promotion may be ordered, it is asked to step down instead and may then be selected as a replica.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -94,6 +94,8 @@
     {
       const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
 
+      if (tou_log_pos_compare (endpoint->newest_pos, out->newest) > 0)
+        out->newest = endpoint->newest_pos;
       if (!endpoint->removed)
         control_fill_endpoint (&out->endpoints[out->n_endpoints++], endpoint);
     }
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -152,6 +152,50 @@
   return FALSE;
 }
 
+/* Returns the database that leads the recorded term under another id than the
+   recorded one, or NULL. Only one database leads a term. */
+static const TouHandoverEndpoint *
+handover_find_renamed_primary (const TouHandoverView *view)
+{
+  const TouHandoverEndpoint *recorded
+      = handover_find_endpoint (view, &view->record.primary);
+
+  if (recorded != NULL && recorded->usable)
+    return NULL;
+  for (guint i = 0; i < view->n_endpoints; i++)
+    {
+      const TouHandoverEndpoint *endpoint = &view->endpoints[i];
+
+      /* One without the newest commits has started anew. */
+      if (handover_is_primary (endpoint, view->record.term)
+          && endpoint->term == view->record.term
+          && tou_log_pos_compare (endpoint->received, view->newest) >= 0
+          && !tou_name_equal (&endpoint->id, &view->record.primary))
+        return endpoint;
+    }
+  return NULL;
+}
+
+/* A primary that crashed may return with its log under another id; its
+   promotion would change nothing. Once a candidate is recorded, the promotion
+   of that one may have been ordered. */
+static gboolean
+handover_record_renamed_primary (TouHandover *handover,
+                                 const TouHandoverView *view,
+                                 TouHandoverAction *out)
+{
+  const TouHandoverEndpoint *primary = handover_find_renamed_primary (view);
+  TouGroupRecord record = { 0 };
+
+  if (primary == NULL || view->record.candidate.len > 0)
+    return FALSE;
+  record.term = view->record.term;
+  record.primary = primary->id;
+  handover_write (handover, &record, HANDOVER_IDLE,
+                  "primary returned under another id", out);
+  return TRUE;
+}
+
 /* Without a record, the primary with the highest term is recorded. */
 static void
 handover_adopt_existing (TouHandover *handover, const TouHandoverView *view,
@@ -223,6 +267,8 @@
       handover_adopt_existing (handover, view, out);
       return;
     }
+  if (handover_record_renamed_primary (handover, view, out))
+    return;
   if (view->record.moving)
     {
       handover->step = HANDOVER_QUIESCE;
@@ -274,7 +320,8 @@
 }
 
 /* Repeats the request, which may be lost or rejected while the database handles
-   another one. */
+   another one. A primary that has returned under another id is requested as
+   well: as a replica, it may be selected. */
 static gboolean
 handover_repeat_step_down (TouHandover *handover, const TouHandoverView *view,
                            guint64 now_us, TouHandoverAction *out)
@@ -282,8 +329,11 @@
   const TouHandoverEndpoint *primary
       = handover_find_endpoint (view, &view->record.primary);
 
-  if (!handover->step_down_requested || primary == NULL || !primary->usable
-      || primary->role != TOU_ROLE_PRIMARY
+  if (primary == NULL || !primary->usable)
+    primary = handover_find_renamed_primary (view);
+  else if (!handover->step_down_requested || primary->role != TOU_ROLE_PRIMARY)
+    primary = NULL;
+  if (primary == NULL
       || now_us < handover->step_down_us + HANDOVER_STEP_DOWN_INTERVAL_US)
     return FALSE;
   handover_step_down (handover, primary, now_us, out);
@@ -341,6 +391,7 @@
                          gboolean *waiting)
 {
   const TouHandoverEndpoint *best = NULL;
+  const TouHandoverEndpoint *renamed = handover_find_renamed_primary (view);
 
   *waiting = FALSE;
   for (guint i = 0; i < view->n_endpoints; i++)
@@ -348,7 +399,8 @@
       const TouHandoverEndpoint *endpoint = &view->endpoints[i];
 
       if (!handover_may_select (view, endpoint)
-          || handover_was_rejected (handover, endpoint, now_us))
+          || handover_was_rejected (handover, endpoint, now_us)
+          || endpoint == renamed)
         continue;
       if (endpoint->status_us < handover->quiesced_us)
         {
@@ -457,6 +509,7 @@
 
   handover->awaits_logs = FALSE;
   if (handover_publish (handover, view, NULL, out)
+      || handover_record_renamed_primary (handover, view, out)
       || handover_use_returned_primary (handover, view, now_us, out)
       || handover_repeat_step_down (handover, view, now_us, out))
     return;
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -6,7 +6,8 @@
  * old primary, request it to step down if it answers, select the replica with
  * the highest log position, write it to the store as the candidate, order its
  * promotion, wait until it is primary, write it to the store as primary.
- * Another node can repeat each step.
+ * Another node can repeat each step. A primary that returns with its log under
+ * another id is recorded instead.
  *
  * With synchronous replicas, the selection waits until the positions show that
  * the replica has every acknowledged commit, and draining replicas, which
@@ -39,6 +40,8 @@
   gboolean primary_registered; /**< registered, or missing only briefly */
   gboolean primary_draining;
   guint64 record_us;   /**< when the record was adopted */
+  TouLogPos newest;    /**< newest log position that any of the group's
+                            databases has reported to this node */
   guint sync_replicas; /**< a commit is acknowledged once as many replicas have
                             received it; 0: at once */
   guint n_nodes;       /**< registered nodes, including this one */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -821,6 +821,8 @@
       view->n_ended = (guint)arg_number (command, 2);
       view->primary_ended = arg_is (command, 3, "primary-ended");
     }
+  else if (arg_is (command, 0, "newest"))
+    view->newest = position (arg (command, 1));
   else if (arg_is (command, 0, "store-back"))
     view->registry_complete = tou_handover_is_registry_complete (
         arg_us (command, 1), arg_us (command, 2));
