Complete statements of other nodes before the process ends

A node that holds connections for others ended as soon as its own sessions were closed, at the earliest 250 ms after it had removed its registration. Statements that it was running for other nodes were cut off: for a write, the client at the other node gets INDOUBT although the stop was planned.

The loop now also waits for statements and open transactions of other nodes, at the latest until 100 ms before the kill. From the removal of the registration the gateway refuses new sessions and statements, which have not run, and says STOP on each session that is between statements, so that the other node selects another gateway before its next statement.

Test: proxy/relay-stopping; without the wait it prints that nothing is in progress while a write runs, without the change the write after it is sent to the gateway.

--- a/src/session/link.c
+++ b/src/session/link.c
@@ -385,6 +385,14 @@
 
   if (link->gateway_node.len > 0 && tou_relay_is_progress (line))
     return;
+  if (link->gateway_node.len > 0 && tou_relay_is_stopping (line))
+    {
+      tou_endpoint_avoid_gateway (link->endpoint, &link->gateway_node,
+                                  "gateway is stopping", tou_clock_us ());
+      if (tou_link_is_idle (link))
+        tou_link_close (link, NULL);
+      return;
+    }
   plat_wire_decode_reply (&reply, line);
   switch (reply.kind)
     {
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -602,6 +602,21 @@
   proxy->end_txns_us = now_us + proxy->settings.grace_us / 2;
 }
 
+gboolean
+tou_proxy_has_work (const TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (proxy->clients.length > 0)
+    return TRUE;
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (tou_relay_has_work (value))
+      return TRUE;
+  return FALSE;
+}
+
 char *
 tou_proxy_metrics (TouProxy *proxy)
 {
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -200,6 +200,8 @@
 gboolean tou_proxy_is_ready (TouProxy *proxy);
 /** Begins a graceful shutdown. */
 void tou_proxy_drain (TouProxy *proxy, guint64 now_us);
+/** TRUE if it has sessions, or statements of other nodes in progress. */
+gboolean tou_proxy_has_work (const TouProxy *proxy);
 /** Counters and histograms in the text format of /metrics. */
 char *tou_proxy_metrics (TouProxy *proxy);
 /** State of groups, endpoints and sessions as JSON; free with free(). */
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -32,6 +32,10 @@
 #define RELAY_RANK_MAX 40
 /* Line that reports a statement in progress. */
 #define RELAY_PROGRESS_LINE "WAIT"
+/* Line that says that the gateway's process will end; sent between statements.
+ */
+#define RELAY_STOPPING_LINE "STOP"
+#define RELAY_STOPPING_REASON "this node is stopping"
 
 struct TouRelay
 {
@@ -46,6 +50,7 @@
   gboolean closing;         /* the connection is being freed */
   gboolean close_requested; /* closes when its statement ends */
   gboolean busy;            /* a statement is queued or running */
+  gboolean told_stopping;   /* RELAY_STOPPING_LINE was sent */
   guint64 last_activity_us; /* last statement received or answered */
   guint64 progress_us;      /* when the other node last received something */
   TouSqlValues values;
@@ -280,6 +285,38 @@
   return tou_slice_is (line, RELAY_PROGRESS_LINE);
 }
 
+gboolean
+tou_relay_is_stopping (TouSlice line)
+{
+  return tou_slice_is (line, RELAY_STOPPING_LINE);
+}
+
+static gboolean
+relay_has_work (const TouRelay *relay)
+{
+  return relay->busy || relay->link != NULL;
+}
+
+gboolean
+tou_relay_has_work (const TouEndpoint *endpoint)
+{
+  for (const GList *list_node = endpoint->relays.head; list_node != NULL;
+       list_node = list_node->next)
+    if (relay_has_work (list_node->data))
+      return TRUE;
+  return FALSE;
+}
+
+static void
+relay_tell_stopping (TouRelay *relay)
+{
+  if (!relay->proxy->deregistered || relay->told_stopping
+      || relay_has_work (relay))
+    return;
+  relay->told_stopping = TRUE;
+  relay_send (relay, g_string_new (RELAY_STOPPING_LINE "\r\n"));
+}
+
 static void
 relay_report_progress (TouRelay *relay, guint64 now_us)
 {
@@ -338,6 +375,7 @@
     {
       next = list_node->next;
       relay_report_progress (list_node->data, now_us);
+      relay_tell_stopping (list_node->data);
       relay_check (list_node->data, reason != NULL, all_links_pinned, now_us);
     }
   while ((item = reason != NULL
@@ -382,6 +420,11 @@
       relay_run (relay, relay->link);
       return;
     }
+  if (relay->proxy->deregistered)
+    {
+      relay_refuse (relay, RELAY_STOPPING_REASON);
+      return;
+    }
   relay_enqueue (relay);
   tou_dispatch_group (relay->endpoint->group);
 }
@@ -471,6 +514,11 @@
       relay_reject (relay, TOU_SQL_E_MOVED, "not known at this node");
       return;
     }
+  if (relay->proxy->deregistered)
+    {
+      relay_reject (relay, TOU_SQL_E_BUSY, RELAY_STOPPING_REASON);
+      return;
+    }
   if (tou_endpoint_has_failed (endpoint))
     {
       relay_reject (relay, TOU_SQL_E_BUSY, "not reachable from this node");
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -7,6 +7,9 @@
  * that all sessions share. Answers of the database are forwarded unchanged. If
  * an answer is lost, the session is closed, so the other node determines the
  * outcome as if it were connected to the database itself.
+ *
+ * Before its process ends, a gateway tells the other nodes on their sessions,
+ * so that they select another gateway, and completes what it has accepted.
  */
 #pragma once
 
@@ -37,7 +40,13 @@
 /** Refuses statements that cannot run in time and closes unused sessions. */
 void tou_relay_tick (TouEndpoint *endpoint, guint64 now_us);
 
+/** TRUE if a statement or an open transaction of another node is in progress.
+ */
+gboolean tou_relay_has_work (const TouEndpoint *endpoint);
+
 /** TRUE if a gateway's line only reports that a statement is in progress. */
 gboolean tou_relay_is_progress (TouSlice line);
+/** TRUE if a gateway's line says that its process will end. */
+gboolean tou_relay_is_stopping (TouSlice line);
 
 G_END_DECLS
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -89,7 +89,7 @@
   /* Statements that are still running are answered if there is time. */
   if (daemon->deregister_start_us != 0
       && now_us >= daemon->deregister_start_us + SESSIOND_DEREGISTER_US
-      && (proxy->clients.length == 0
+      && (!tou_proxy_has_work (proxy)
           || now_us + SESSIOND_LAST_MARGIN_US >= daemon->kill_deadline_us))
     uv_stop (&daemon->loop);
 }
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -535,6 +535,12 @@
     run_gateway_draining (script, words);
   else if (strcmp (words[0], "gateway-silent") == 0)
     script->gateway_silent = TRUE;
+  else if (strcmp (words[0], "gateway-deregister") == 0)
+    script->gateway_proxy->deregistered = TRUE;
+  else if (strcmp (words[0], "gateway-work") == 0)
+    g_string_append_printf (
+        script->out, "%s\n",
+        tou_proxy_has_work (script->gateway_proxy) ? "in progress" : "none");
   else if (strcmp (words[0], "gateway-lost") == 0)
     run_gateway_lost (script, words);
   else if (strcmp (words[0], "attempts") == 0)
