Refuse waiting statements before a stopped process ends

A statement that was read in the first half of the grace time and waits for a database, for up to its route's timeout of 10 s, was dropped with its connection when the process ended. It has not run, but its client is not told.

In the second half of the grace time nothing new is accepted, but what waits was left alone.

Test: proxy/drain-waiting. With the end of the process in place of the refusal, as it was before, the connection closes without an answer.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -611,8 +611,7 @@
 
   if (client_is_too_late (client, statement))
     {
-      client_fail (client, TOU_SQL_E_BUSY,
-                   "this node is stopping; retry at another one", NULL);
+      client_fail (client, TOU_SQL_E_BUSY, TOU_PROXY_STOPPING_REASON, NULL);
       return;
     }
   if (open && client->txn_lost && statement->kind != TOU_SQL_ROLLBACK)
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -205,16 +205,29 @@
   dispatch_expire_queue (group->reads, now_us);
 }
 
-void
-tou_dispatch_refuse_writes (TouGroup *group, const char *reason)
+static void
+dispatch_refuse_queue (TouQueue *queue, const char *reason)
 {
   TouQueueItem *item;
 
-  while ((item = tou_queue_pop_any (group->writes)) != NULL)
+  while ((item = tou_queue_pop_any (queue)) != NULL)
     tou_client_refuse_request (tou_client_of_item (item), TOU_SQL_E_BUSY,
                                reason);
 }
 
+void
+tou_dispatch_refuse_writes (TouGroup *group, const char *reason)
+{
+  dispatch_refuse_queue (group->writes, reason);
+}
+
+void
+tou_dispatch_refuse_all (TouGroup *group, const char *reason)
+{
+  dispatch_refuse_queue (group->writes, reason);
+  dispatch_refuse_queue (group->reads, reason);
+}
+
 void
 tou_dispatch_mark_lagging (TouEndpoint *endpoint, TouLogPos after,
                            guint64 now_us)
--- a/src/session/dispatch.h
+++ b/src/session/dispatch.h
@@ -25,6 +25,8 @@
 
 /** Refuses all statements that are queued for the primary. */
 void tou_dispatch_refuse_writes (TouGroup *group, const char *reason);
+/** Refuses all queued statements. */
+void tou_dispatch_refuse_all (TouGroup *group, const char *reason);
 
 /**
  * Records that a replica has not reached @a after. Reads that require it avoid
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -602,6 +602,17 @@
   proxy->end_txns_us = now_us + proxy->settings.grace_us / 2;
 }
 
+void
+tou_proxy_refuse_waiting (TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tou_dispatch_refuse_all (value, TOU_PROXY_STOPPING_REASON);
+}
+
 gboolean
 tou_proxy_has_work (const TouProxy *proxy)
 {
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -21,6 +21,9 @@
 
 G_BEGIN_DECLS
 
+/** Text of refusals by a node that is being stopped. */
+#define TOU_PROXY_STOPPING_REASON "this node is stopping; retry at another one"
+
 typedef struct TouProxy TouProxy;
 typedef struct TouGroup TouGroup;
 typedef struct TouEndpoint TouEndpoint;
@@ -200,6 +203,11 @@
 gboolean tou_proxy_is_ready (TouProxy *proxy);
 /** Begins a graceful shutdown. */
 void tou_proxy_drain (TouProxy *proxy, guint64 now_us);
+/**
+ * Refuses the statements that wait for a database, near the end of a graceful
+ * shutdown: none might be answered in time any more.
+ */
+void tou_proxy_refuse_waiting (TouProxy *proxy);
 /** TRUE if it has sessions, or statements of other nodes in progress. */
 gboolean tou_proxy_has_work (const TouProxy *proxy);
 /** Counters and histograms in the text format of /metrics. */
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -86,6 +86,8 @@
       daemon->deregister_start_us = now_us;
       tou_control_deregister (daemon->control);
     }
+  if (now_us + SESSIOND_EXIT_MARGIN_US >= daemon->kill_deadline_us)
+    tou_proxy_refuse_waiting (proxy);
   /* Statements that are still running are answered if there is time. */
   if (daemon->deregister_start_us != 0
       && now_us >= daemon->deregister_start_us + SESSIOND_DEREGISTER_US
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -571,6 +571,8 @@
     script->proofs_paused = strcmp (words[1], "off") == 0;
   else if (strcmp (words[0], "drain") == 0)
     run_drain (script);
+  else if (strcmp (words[0], "refuse-waiting") == 0)
+    tou_proxy_refuse_waiting (script->proxy);
   else if (strcmp (words[0], "restart-node") == 0)
     run_restart_node (script);
   else if (strcmp (words[0], "sleep") == 0)
