Remove a superseded log once its database must have registered again

Cause: the check that a log is superseded began only when its database had been missing for the drain time, so it had to find a primary and a replica that work at that moment. Here the next disruption had begun by then, and the selection waited for a log of a former primary that had been down all the while.

The check now begins when the registration is missed. A superseded log matters only if its database receives commits without being registered; it is removed once such a database must have registered again, after 2.5 s in which the store was available. A log that is not superseded still counts for the drain time.

Test: session/log-set, test-logs (as before).

--- a/src/session/control-logs.c
+++ b/src/session/control-logs.c
@@ -12,7 +12,8 @@
 {
   tou_log_set_create (&logs->known);
   tou_log_set_create (&logs->stored);
-  tou_log_set_create (&logs->ended);
+  tou_log_set_create (&logs->superseded);
+  tou_log_set_create (&logs->checked);
 }
 
 void
@@ -20,7 +21,8 @@
 {
   tou_log_set_destroy (logs->known);
   tou_log_set_destroy (logs->stored);
-  tou_log_set_destroy (logs->ended);
+  tou_log_set_destroy (logs->superseded);
+  tou_log_set_destroy (logs->checked);
 }
 
 static TouLog
@@ -62,25 +64,42 @@
     logs_copy (logs->known, logs->stored);
 }
 
-/* TRUE if the log does not exist any more, or will not return as far as the
-   registry tells: the database has been missing from it for the time in which
-   one that leaves ends, not counting outages of the store. */
-static gboolean
-logs_has_ended (const ControlGroup *state, const TouLog *log, guint64 now_us)
+/* Returns since when the log's database has been missing from the registry, not
+   counting the time before the last outage of the store ended; 0: it is there.
+ */
+static guint64
+logs_missing_since_us (const ControlGroup *state, const TouLog *log)
 {
   const TouControl *control = state->control;
   const TouEndpoint *endpoint
       = g_hash_table_lookup (control->proxy->endpoints, &log->endpoint);
-  guint64 missing_since_us = control->synced_us;
+  guint64 since_us
+      = endpoint != NULL ? endpoint->missing_since_us : control->synced_us;
 
-  if (endpoint != NULL && endpoint->info.started_ms > log->started_ms)
-    return TRUE;
-  if (endpoint != NULL)
-    missing_since_us = endpoint->missing_since_us;
-  if (missing_since_us == 0)
-    return FALSE;
-  return now_us >= MAX (missing_since_us, control->store_back_us)
-                       + control->proxy->settings.drain_us;
+  return since_us != 0 ? MAX (since_us, control->store_back_us) : 0;
+}
+
+/* TRUE if its database has started anew since, with another log. */
+static gboolean
+logs_was_lost (const ControlGroup *state, const TouLog *log)
+{
+  const TouEndpoint *endpoint
+      = g_hash_table_lookup (state->control->proxy->endpoints, &log->endpoint);
+
+  return endpoint != NULL && endpoint->info.started_ms > log->started_ms;
+}
+
+/* TRUE if the log does not exist any more, or will not return as far as the
+   registry tells: its database has been missing for the time in which one that
+   leaves ends. */
+static gboolean
+logs_has_ended (const ControlGroup *state, const TouLog *log, guint64 now_us)
+{
+  guint64 since_us = logs_missing_since_us (state, log);
+
+  return logs_was_lost (state, log)
+         || (since_us != 0
+             && now_us >= since_us + state->control->proxy->settings.drain_us);
 }
 
 static gboolean
@@ -174,53 +193,87 @@
   return n;
 }
 
-/* Updates the logs that have ended. A check of fewer logs does not hold for the
-   others, so it is repeated. */
+/* Updates which logs are superseded and which are checked. A check of fewer
+   logs does not hold for the others, so it is repeated. */
 static void
-logs_find_ended (ControlGroup *state, guint64 now_us)
+logs_classify (ControlLogs *logs, const ControlGroup *state, guint64 now_us)
 {
-  ControlLogs *logs = &state->logs;
-  TouLogSet *ended;
+  TouLogSet *superseded;
+  TouLogSet *checked;
 
-  tou_log_set_create (&ended);
+  tou_log_set_create (&superseded);
+  tou_log_set_create (&checked);
   for (guint i = 0; i < tou_log_set_size (logs->known); i++)
     {
       const TouLog *log = tou_log_set_get (logs->known, i);
 
-      if (logs_has_ended (state, log, now_us))
-        tou_log_set_add (ended, log);
+      if (logs_missing_since_us (state, log) == 0
+          && !logs_was_lost (state, log))
+        continue;
+      tou_log_set_add (tou_log_set_contains (logs->superseded, log) ? superseded
+                                                                    : checked,
+                       log);
     }
-  if (!tou_log_set_equal (ended, logs->ended))
+  if (!tou_log_set_equal (checked, logs->checked))
+    tou_log_check_start (&logs->check, now_us);
+  logs_copy (logs->superseded, superseded);
+  logs_copy (logs->checked, checked);
+  tou_log_set_destroy (superseded);
+  tou_log_set_destroy (checked);
+}
+
+/* Checks the logs that are not registered and not yet superseded.
+   @return TRUE if the databases' statuses are needed for that */
+static gboolean
+logs_run_check (ControlGroup *state, guint64 now_us)
+{
+  ControlLogs *logs = &state->logs;
+  TouLogStatus statuses[TOU_GROUP_MAX_ENDPOINTS];
+  guint n_statuses;
+
+  logs_classify (logs, state, now_us);
+  if (tou_log_set_size (logs->checked) == 0)
+    return FALSE;
+  /* During a change of primary, no database is known to have all commits. */
+  if (tou_authority_record (state->group->authority)->moving)
     {
-      logs_copy (logs->ended, ended);
       tou_log_check_start (&logs->check, now_us);
+      return FALSE;
     }
-  tou_log_set_destroy (ended);
+  n_statuses = logs_collect_statuses (state, statuses);
+  if (!tou_log_check_report (&logs->check, statuses, n_statuses,
+                             state->group->limits.sync_replicas))
+    return TRUE;
+  tou_log_set_add_all (logs->superseded, logs->checked);
+  tou_log_set_clear (logs->checked);
+  return FALSE;
 }
 
-/* TRUE if the logs that have ended are no longer needed. */
+/* TRUE if the log is superseded, and its database has not received commits
+   since: a running one would be registered. */
 static gboolean
-logs_may_remove_ended (ControlGroup *state)
+logs_may_remove (const ControlGroup *state, const TouLog *log, guint64 now_us)
 {
-  TouLogStatus statuses[TOU_GROUP_MAX_ENDPOINTS];
-  guint n = logs_collect_statuses (state, statuses);
+  guint64 since_us = logs_missing_since_us (state, log);
 
-  return tou_log_check_report (&state->logs.check, statuses, n,
-                               state->group->limits.sync_replicas);
+  return tou_log_set_contains (state->logs.superseded, log)
+         && (logs_was_lost (state, log)
+             || (since_us != 0
+                 && tou_handover_is_registry_complete (since_us, now_us)));
 }
 
-/* The logs to store: the known ones, without those that are no longer needed,
-   and those of registered databases. */
+/* The logs to store: the known ones that are still needed, and those of
+   registered databases. */
 static void
-logs_select (ControlGroup *state, gboolean without_ended, TouLogSet *out)
+logs_select (const ControlGroup *state, TouLogSet *out, guint64 now_us)
 {
-  const ControlLogs *logs = &state->logs;
+  const TouLogSet *known = state->logs.known;
 
-  for (guint i = 0; i < tou_log_set_size (logs->known); i++)
+  for (guint i = 0; i < tou_log_set_size (known); i++)
     {
-      const TouLog *log = tou_log_set_get (logs->known, i);
+      const TouLog *log = tou_log_set_get (known, i);
 
-      if (!without_ended || !tou_log_set_contains (logs->ended, log))
+      if (!logs_may_remove (state, log, now_us))
         tou_log_set_add (out, log);
     }
   logs_add_registered (state, out);
@@ -288,19 +341,14 @@
 {
   ControlLogs *logs = &state->logs;
   TouLogSet *next;
-  gboolean checks;
+  gboolean needs_statuses;
 
   if (state->group->limits.sync_replicas == 0 || logs->writing
       || now_us < logs->retry_after_us)
     return FALSE;
-  logs_find_ended (state, now_us);
-  /* During a change of primary, nothing shows which logs are needed. */
-  checks = tou_log_set_size (logs->ended) > 0
-           && !tou_authority_record (state->group->authority)->moving;
-  if (!checks)
-    tou_log_check_start (&logs->check, now_us);
+  needs_statuses = logs_run_check (state, now_us);
   tou_log_set_create (&next);
-  logs_select (state, checks && logs_may_remove_ended (state), next);
+  logs_select (state, next, now_us);
   /* Logs that are not stored yet count as well. */
   tou_log_set_add_all (logs->known, next);
   if (tou_log_set_equal (next, logs->stored)
@@ -308,7 +356,7 @@
     tou_log_set_destroy (next);
   else
     logs_write (state, next);
-  return checks;
+  return needs_statuses;
 }
 
 void
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -26,9 +26,11 @@
   guint64 stored_revision; /* 0: none */
   gboolean writing;
   guint64 retry_after_us;
-  guint64 logged_us; /* last log line that the selection waits */
-  TouLogSet *ended;  /* those that have ended without being removed yet */
-  TouLogCheck check; /* of these */
+  guint64 logged_us;     /* last log line that the selection waits */
+  TouLogSet *superseded; /* those that are not registered, and whose commits
+                            enough of the others have */
+  TouLogSet *checked;    /* the others that are not registered */
+  TouLogCheck check;     /* whether these are superseded */
 } ControlLogs;
 
 typedef struct
--- a/src/session/log-set.h
+++ b/src/session/log-set.h
@@ -61,26 +61,26 @@
 } TouLogStatus;
 
 /**
- * Checks whether logs that have ended may be removed from the set: every commit
- * that they can have had acknowledged must be in enough of the other logs.
+ * Checks whether logs whose databases are not registered are superseded: every
+ * commit that was acknowledged because of them is in enough of the other logs.
  *
  * That is so once as many replicas as acknowledge a commit have received the
- * position that the primary had after the logs ended.
+ * position that the primary had after the databases were last registered.
  */
 typedef struct
 {
-  guint64 since_us; /**< when it started; the logs had ended */
+  guint64 since_us; /**< when it started; they were not registered */
   gboolean has_position;
   TouLogPos position; /**< of the primary, after since_us */
 } TouLogCheck;
 
-/** Starts a check of logs that have ended by @a now_us. */
+/** Starts a check of logs that are not registered at @a now_us. */
 void tou_log_check_start (TouLogCheck *check, guint64 now_us);
 
 /**
  * Continues a check with the statuses of the registered databases.
  *
- * @return TRUE if the logs may be removed
+ * @return TRUE if the logs are superseded
  */
 gboolean tou_log_check_report (TouLogCheck *check, const TouLogStatus *statuses,
                                guint n_statuses, guint sync_replicas);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -684,7 +684,7 @@
     }
   else if (arg_is (command, 0, "log-report"))
     {
-      put_yes_no (script, "may be removed",
+      put_yes_no (script, "superseded",
                   tou_log_check_report (
                       &script->log_check,
                       (const TouLogStatus *)(void *)script->log_statuses->data,
