Test that a log is removed only when it is superseded

Guards both ways: removed while a replica lacks the primary's position it would be the only log, beside the primary's, with an acknowledged commit; kept afterwards, a change of primary would wait for it.

--- a/tests/test-logs.c
+++ b/tests/test-logs.c
@@ -147,6 +147,55 @@
   fleet_clear (&fleet);
 }
 
+/* All nodes have the status of a database, as after a request. */
+static void
+fleet_set_status (ControlFleet *fleet, const char *id, TouRole role,
+                  guint64 position)
+{
+  TouName name = tou_name (id);
+
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    {
+      TouEndpoint *endpoint
+          = g_hash_table_lookup (fleet->nodes[i].proxy->endpoints, &name);
+
+      endpoint->status.role = role;
+      endpoint->status.term = 1;
+      endpoint->status.received = (TouLogPos){ 1, position };
+      endpoint->status_us = tou_clock_us ();
+    }
+}
+
+static gboolean
+fleet_lacks_log (const FleetNode *node, guint64 number)
+{
+  return !fleet_has_log (node, number);
+}
+
+/* Guards against a log that is removed while it is the only one, beside the
+   primary's, with an acknowledged commit, and against a group that waits for it
+   when others have its commits. */
+static void
+test_log_is_removed_when_superseded (void **state)
+{
+  ControlFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  fleet_register (&fleet, "db3", "replica");
+  assert_true (fleet_wait (&fleet, fleet_has_log, 3));
+  kv_remove (fleet.kv, "servers/db2");
+  fleet_run_without (&fleet, TOU_US_PER_S, fleet_lacks_log, 2);
+  fleet_set_status (&fleet, "db1", TOU_ROLE_PRIMARY, 50);
+  fleet_set_status (&fleet, "db3", TOU_ROLE_REPLICA, 49);
+  assert_true (
+      fleet_run_without (&fleet, 9 * TOU_US_PER_S, fleet_lacks_log, 2));
+  fleet_set_status (&fleet, "db3", TOU_ROLE_REPLICA, 50);
+  assert_true (fleet_wait (&fleet, fleet_lacks_log, 2));
+  assert_true (fleet_has_log (&fleet.nodes[0], 3));
+  fleet_clear (&fleet);
+}
+
 int
 main (void)
 {
@@ -154,6 +203,7 @@
     cmocka_unit_test (test_new_leader_knows_expired_replica),
     cmocka_unit_test (test_outage_extends_time_to_return),
     cmocka_unit_test (test_restored_set_is_completed),
+    cmocka_unit_test (test_log_is_removed_when_superseded),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
