--- a/src/session/control-logs.c
+++ b/src/session/control-logs.c
@@ -7,6 +7,13 @@
 /* Interval between log lines while a selection waits. */
 #define LOGS_REPORT_US TOU_US_PER_S
 
+/* With synchronous replicas, the leader keeps the set of logs in the store that
+   may have acknowledged commits. A log is added when its database registers.
+   When the database is no longer registered, the log stays until it is
+   superseded, and until the database would have registered again if it were
+   running. The other nodes follow the set, and continue with it when one of
+   them becomes leader. */
+
 void
 tou_control_init_logs (ControlLogs *logs)
 {
@@ -49,14 +56,16 @@
 
   if (item->deleted || item->revision <= logs->stored_revision)
     return;
+  logs->stored_revision = item->revision;
   if (tou_log_set_decode (logs->stored, &item->value) != TOU_OK)
     {
-      tou_evlog (TOU_EVLOG_STATE, "logs_unreadable",
+      tou_evlog (TOU_EVLOG_STATE, "group_logs_unreadable",
                  "\"group\":\"%s\",\"revision\":%" G_GUINT64_FORMAT,
                  state->group->name.data, item->revision);
+      /* The leader writes the known ones in its place. */
+      tou_log_set_clear (logs->stored);
       return;
     }
-  logs->stored_revision = item->revision;
   /* A set that was restored from a copy may lack logs that were added since. */
   if (restored)
     tou_log_set_add_all (logs->known, logs->stored);
@@ -325,7 +334,7 @@
       = { conditions, G_N_ELEMENTS (conditions), key, value, 0 };
   LogsWrite *write = g_new0 (LogsWrite, 1);
 
-  tou_evlog (TOU_EVLOG_STATE, "logs", "\"group\":\"%s\",\"logs\":%s",
+  tou_evlog (TOU_EVLOG_STATE, "group_logs", "\"group\":\"%s\",\"logs\":%s",
              state->group->name.data, value);
   write->state = state;
   write->set = set;
@@ -359,6 +368,7 @@
   return needs_statuses;
 }
 
+/* Tells why a group has no primary although databases answer. */
 void
 tou_control_report_logs (ControlGroup *state, const TouHandoverView *view,
                          guint64 now_us)
--- a/tests/test-logs.c
+++ b/tests/test-logs.c
@@ -147,6 +147,21 @@
   fleet_clear (&fleet);
 }
 
+/* Guards against a leader whose writes fail for ever, as it does not know the
+   revision of a set that it cannot read. */
+static void
+test_unreadable_set_is_replaced (void **state)
+{
+  ControlFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  kv_put (fleet.kv, LOGS_KEY, "[");
+  assert_true (fleet_wait (&fleet, fleet_has_log, 1));
+  assert_true (fleet_wait (&fleet, fleet_has_log, 2));
+  fleet_clear (&fleet);
+}
+
 /* All nodes have the status of a database, as after a request. */
 static void
 fleet_set_status (ControlFleet *fleet, const char *id, TouRole role,
@@ -203,6 +218,7 @@
     cmocka_unit_test (test_new_leader_knows_expired_replica),
     cmocka_unit_test (test_outage_extends_time_to_return),
     cmocka_unit_test (test_restored_set_is_completed),
+    cmocka_unit_test (test_unreadable_set_is_replaced),
     cmocka_unit_test (test_log_is_removed_when_superseded),
   };
 
