--- a/tests/control/control-fleet.c
+++ b/tests/control/control-fleet.c
@@ -124,13 +124,15 @@
 }
 
 void
-fleet_register (ControlFleet *fleet, const char *id, const char *role)
+fleet_register (ControlFleet *fleet, const char *id, const char *role,
+                guint64 started_ms)
 {
   char *key = g_strconcat ("servers/", id, NULL);
   char *text = g_strdup_printf (
       "{\"service\":\"g\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
-      "\"capacity\":1,\"state\":\"ready\",\"dbRole\":\"%s\",\"born\":1000}",
-      role);
+      "\"capacity\":1,\"state\":\"ready\",\"dbRole\":\"%s\",\"born\":"
+      "%" G_GUINT64_FORMAT "}",
+      role, started_ms);
 
   kv_put (fleet->kv, key, text);
   g_free (key);
--- a/tests/control/control-fleet.h
+++ b/tests/control/control-fleet.h
@@ -48,8 +48,12 @@
 void fleet_configure (ControlFleet *fleet, guint64 version);
 /** Writes one with the group "g", whose commits wait for one replica. */
 void fleet_configure_group (ControlFleet *fleet, guint64 version);
-/** Registers a database of the group "g"; it does not answer. */
-void fleet_register (ControlFleet *fleet, const char *id, const char *role);
+/**
+ * Registers a database of the group "g" that was started at @a started_ms; it
+ * does not answer.
+ */
+void fleet_register (ControlFleet *fleet, const char *id, const char *role,
+                     guint64 started_ms);
 /** Writes the record of the group "g"; its primary is "dbTERM". */
 void fleet_put_record (ControlFleet *fleet, guint64 term);
 
--- a/tests/test-logs.c
+++ b/tests/test-logs.c
@@ -16,6 +16,7 @@
 
 #define NODES 3
 #define LOGS_KEY "tou/logs/g"
+#define STARTED_MS 1000
 #define WAIT_US (20 * TOU_US_PER_S)
 
 static gboolean
@@ -40,8 +41,8 @@
     fleet_add (fleet);
   assert_true (fleet_wait (fleet, fleet_has_mark, 0));
   fleet_put_record (fleet, 1);
-  fleet_register (fleet, "db1", "primary");
-  fleet_register (fleet, "db2", "replica");
+  fleet_register (fleet, "db1", "primary", STARTED_MS);
+  fleet_register (fleet, "db2", "replica", STARTED_MS);
   assert_true (fleet_wait (fleet, fleet_has_log, 2));
 }
 
@@ -134,7 +135,7 @@
   (void)state;
   fleet_start (&fleet);
   kv_backup (fleet.kv);
-  fleet_register (&fleet, "db3", "replica");
+  fleet_register (&fleet, "db3", "replica", STARTED_MS);
   assert_true (fleet_wait (&fleet, fleet_has_log, 3));
   kv_remove (fleet.kv, "servers/db3");
   kv_restore (fleet.kv);
@@ -147,6 +148,23 @@
   fleet_clear (&fleet);
 }
 
+/* Guards against an empty database that counts for the log it had before: it
+   answers, but without the commits that were acknowledged because of it. */
+static void
+test_new_incarnation_has_another_log (void **state)
+{
+  ControlFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  fleet_register (&fleet, "db2", "replica", STARTED_MS + 1);
+  /* The test's view has no endpoints, so the new log counts as absent as well.
+   */
+  assert_true (fleet_wait (&fleet, fleet_counts_absent, 2));
+  assert_true (fleet_wait (&fleet, fleet_counts_ended, 1));
+  fleet_clear (&fleet);
+}
+
 /* Guards against a leader whose writes fail for ever, as it does not know the
    revision of a set that it cannot read. */
 static void
@@ -197,7 +215,7 @@
 
   (void)state;
   fleet_start (&fleet);
-  fleet_register (&fleet, "db3", "replica");
+  fleet_register (&fleet, "db3", "replica", STARTED_MS);
   assert_true (fleet_wait (&fleet, fleet_has_log, 3));
   kv_remove (fleet.kv, "servers/db2");
   fleet_run_without (&fleet, TOU_US_PER_S, fleet_lacks_log, 2);
@@ -218,6 +236,7 @@
     cmocka_unit_test (test_new_leader_knows_expired_replica),
     cmocka_unit_test (test_outage_extends_time_to_return),
     cmocka_unit_test (test_restored_set_is_completed),
+    cmocka_unit_test (test_new_incarnation_has_another_log),
     cmocka_unit_test (test_unreadable_set_is_replaced),
     cmocka_unit_test (test_log_is_removed_when_superseded),
   };
