Forget which logs are superseded when leadership ends

What a leader found out about the logs that are not registered stayed in its memory when it lost its lease. If it was elected again, after a database had returned, received commits and was missing again, the log could be removed without a new check.

A node that does not lead forgets it on each tick. Test: test-logs, check ends with leadership; without the change the set is not empty.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -332,8 +332,11 @@
       ControlGroup *state = tou_control_group (control, group);
 
       if (may_act)
-        control_run_group (state, now_us);
-      else
-        tou_handover_reset (state->handover);
+        {
+          control_run_group (state, now_us);
+          continue;
+        }
+      tou_handover_reset (state->handover);
+      tou_control_reset_logs (state);
     }
 }
--- a/src/session/control-logs.c
+++ b/src/session/control-logs.c
@@ -368,6 +368,13 @@
   return needs_statuses;
 }
 
+void
+tou_control_reset_logs (ControlGroup *state)
+{
+  tou_log_set_clear (state->logs.superseded);
+  tou_log_set_clear (state->logs.checked);
+}
+
 /* Tells why a group has no primary although databases answer. */
 void
 tou_control_report_logs (ControlGroup *state, const TouHandoverView *view,
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -173,6 +173,11 @@
  * @return TRUE if the databases' statuses are needed for that
  */
 gboolean tou_control_run_logs (ControlGroup *state, guint64 now_us);
+/**
+ * Forgets which logs are superseded: a node that is not the leader does not
+ * check them, and their databases may return meanwhile.
+ */
+void tou_control_reset_logs (ControlGroup *state);
 /** Writes a log line while a selection waits for logs. */
 void tou_control_report_logs (ControlGroup *state, const TouHandoverView *view,
                               guint64 now_us);
--- a/tests/test-logs.c
+++ b/tests/test-logs.c
@@ -229,6 +229,36 @@
   fleet_clear (&fleet);
 }
 
+/* Guards against a log that is removed by what a former leader found out: since
+   then its database has returned, received commits, and is missing again. */
+static void
+test_check_ends_with_leadership (void **state)
+{
+  ControlFleet fleet;
+  TouName group = tou_name ("g");
+  TouLog log = { tou_name ("db2"), STARTED_MS };
+
+  (void)state;
+  fleet_start (&fleet);
+  kv_remove (fleet.kv, "servers/db2");
+  for (guint i = 0; i < NODES; i++)
+    {
+      TouControl *control = fleet.nodes[i].control;
+      const ControlLogs *logs
+          = &tou_control_group (control,
+                                tou_group_get (fleet.nodes[i].proxy, &group))
+                 ->logs;
+
+      if (control->is_leader)
+        continue;
+      tou_log_set_add (logs->superseded, &log);
+      fleet_run_without (&fleet, TOU_US_PER_S / 2, fleet_lacks_log, 2);
+      assert_false (control->is_leader);
+      assert_int_equal (tou_log_set_size (logs->superseded), 0);
+    }
+  fleet_clear (&fleet);
+}
+
 int
 main (void)
 {
@@ -239,6 +269,7 @@
     cmocka_unit_test (test_new_incarnation_has_another_log),
     cmocka_unit_test (test_unreadable_set_is_replaced),
     cmocka_unit_test (test_log_is_removed_when_superseded),
+    cmocka_unit_test (test_check_ends_with_leadership),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
