Give the nodes of each test process a loopback address of their own

Cause: a node that a test stops releases its UDP port, and the kernel may give it to a node of another test process, which has the same name and the same group. The rest of the fleet goes on sending there and adopts the record of the answer.

The checks are unchanged.

--- a/tests/control/control-fleet.c
+++ b/tests/control/control-fleet.c
@@ -1,5 +1,7 @@
 #include "control-fleet.h"
 
+#include "support/peer-address.h"
+
 #include <string.h>
 
 /* Interval of the nodes' ticks, and timeout of a wait. */
@@ -71,7 +73,7 @@
   node->kv = fleet->kv;
   settings.node = tou_name (name);
   settings.failure_domain = tou_name ("a");
-  settings.peers_listen = tou_name ("127.0.0.1:0");
+  settings.peers_listen = peer_address ();
   settings.config_apply_us = CONFIG_APPLY_US;
   settings.lease_min_us = LEASE_MIN_US;
   settings.drain_us = DRAIN_US;
--- a/tests/support/heartbeat-fleet.c
+++ b/tests/support/heartbeat-fleet.c
@@ -1,5 +1,7 @@
 #include "heartbeat-fleet.h"
 
+#include "peer-address.h"
+
 #include <string.h>
 
 /* Interval of the nodes' ticks, and timeout of a wait. */
@@ -48,7 +50,7 @@
 
   settings.node = tou_name (name);
   g_free (name);
-  settings.peers_listen = tou_name ("127.0.0.1:0");
+  settings.peers_listen = peer_address ();
   g_assert_cmpint (
       tou_proxy_create (&fleet->proxies[added], &fleet->loop, &settings), ==,
       TOU_OK);
