Log each failed store call with its waiting time and connection

No caller sees a difference. The log had only the changes between store_lost and store_regained, so a second call in a row on a silent connection, and how long one watch waited, did not show: the two hypotheses could not be told apart.

store_call_failed names the call, the answer, the time waited, and whether the connection was new or reused; store_reused_total counts calls on open connections, and the gauge store_followed_age_ms says for how long changes have not been read.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -162,22 +162,33 @@
 {
   gboolean answered = reply->result != PLAT_STORE_REFUSED
                       && reply->result != PLAT_STORE_UNKNOWN;
+  const char *answer
+      = reply->result == PLAT_STORE_REFUSED ? "refused" : "none";
 
   control_check_era (control, reply, call);
   control_check_outage (control, reply, answered);
   TOU_COUNT (control->proxy, STORE_CALLS);
+  if (reply->reused)
+    TOU_COUNT (control->proxy, STORE_REUSED);
   if (answered)
     control->proxy->store_answered_us = tou_clock_us ();
   else
-    TOU_COUNT (control->proxy, STORE_FAILED);
+    {
+      TOU_COUNT (control->proxy, STORE_FAILED);
+      tou_evlog (TOU_EVLOG_FAILURE, "store_call_failed",
+                 "\"call\":\"%s\",\"answer\":\"%s\",\"waited_ms\":"
+                 "%" G_GUINT64_FORMAT ",\"connection\":\"%s\"",
+                 call, answer,
+                 (tou_clock_us () - reply->sent_us) / TOU_US_PER_MS,
+                 reply->reused ? "reused" : "new");
+    }
   if (answered == control->connected)
     return;
   control->connected = answered;
   tou_evlog (
       TOU_EVLOG_STATE, answered ? "store_regained" : "store_lost",
       "\"call\":\"%s\",\"answer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT, call,
-      reply->result == PLAT_STORE_REFUSED ? "refused" : "none",
-      control->follow.revision);
+      answered ? "none" : answer, control->follow.revision);
 }
 
 static void
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -640,6 +640,14 @@
                             proxy_counters[i].name, proxy_counters[i].help,
                             proxy_counters[i].name, proxy_counters[i].name,
                             proxy->counters[i]);
+  g_string_append_printf (out,
+                          "# HELP toucanscale_store_followed_age_ms time since "
+                          "the store's changes were last read\n"
+                          "# TYPE toucanscale_store_followed_age_ms gauge\n"
+                          "toucanscale_store_followed_age_ms "
+                          "%" G_GUINT64_FORMAT "\n",
+                          (tou_clock_us () - proxy->store_followed_us)
+                              / TOU_US_PER_MS);
   g_string_append_printf (out,
                           "# TYPE toucanscale_log_dropped_total counter\n"
                           "toucanscale_log_dropped_total %" G_GUINT64_FORMAT
