End requests in progress before the HTTP client is destroyed

The daemon does not run its event loop again after it has destroyed the client.

Cause: libcurl closes the sockets of transfers that are still in the multi handle without a call of the socket function, so the event loop keeps a handle for a closed descriptor and aborts when it runs again. The transfers were not freed either.

The daemon destroys the client before the module whose calls end; they are not logged as failures once the node has been deregistered.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -162,8 +162,7 @@
 {
   gboolean answered = reply->result != PLAT_STORE_REFUSED
                       && reply->result != PLAT_STORE_UNKNOWN;
-  const char *answer
-      = reply->result == PLAT_STORE_REFUSED ? "refused" : "none";
+  const char *answer = reply->result == PLAT_STORE_REFUSED ? "refused" : "none";
 
   control_check_era (control, reply, call);
   control_check_outage (control, reply, answered);
@@ -173,8 +172,12 @@
   if (answered)
     control->proxy->store_answered_us = tou_clock_us ();
   else
+    TOU_COUNT (control->proxy, STORE_FAILED);
+  /* Calls that are in progress at the end of the process are given up. */
+  if (control->proxy->deregistered)
+    return;
+  if (!answered)
     {
-      TOU_COUNT (control->proxy, STORE_FAILED);
       tou_evlog (TOU_EVLOG_FAILURE, "store_call_failed",
                  "\"call\":\"%s\",\"answer\":\"%s\",\"waited_ms\":"
                  "%" G_GUINT64_FORMAT ",\"connection\":\"%s\"",
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -124,11 +124,11 @@
 sessiond_destroy (TouSessiond *daemon)
 {
   tou_admin_destroy (daemon->admin);
+  plat_http_destroy (daemon->http);
   tou_control_destroy (daemon->control);
   tou_peers_destroy (daemon->peers);
   tou_proxy_destroy (daemon->proxy);
   plat_store_destroy (daemon->store);
-  plat_http_destroy (daemon->http);
 }
 
 int
--- a/tests/test-discard.c
+++ b/tests/test-discard.c
@@ -1,6 +1,4 @@
-/* Guards against an order that arrives after its timeout, when another leader
- * may have given the next one: the kernel goes on sending bytes of a connection
- * that was closed, as soon as a cut link works again. */
+/* Guards against requests that outlive their client or their timeout. */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -11,6 +9,7 @@
 #include "http.h"
 
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* The server accepts connections, and does not read. */
@@ -56,38 +55,73 @@
   ((Server *)user_data)->answered = TRUE;
 }
 
-static void
-test_unsent_bytes_are_discarded (void **state)
+/* Starts the server and sends it a request. */
+static PlatHttp *
+server_start (Server *server, guint64 timeout_us)
 {
-  Server server = { 0 };
   struct sockaddr_in address;
   int len = sizeof address;
-  PlatHttpCall call = { "POST", NULL, "{}", NULL, 200 * TOU_US_PER_MS, TRUE };
+  PlatHttpCall call = { "POST", NULL, "{}", NULL, timeout_us, TRUE };
   PlatHttp *http;
   char *url;
 
-  (void)state;
-  uv_loop_init (&server.loop);
+  memset (server, 0, sizeof *server);
+  uv_loop_init (&server->loop);
   uv_ip4_addr ("127.0.0.1", 0, &address);
-  uv_tcp_init (&server.loop, &server.listener);
-  server.listener.data = &server;
-  uv_tcp_bind (&server.listener, (const struct sockaddr *)&address, 0);
-  uv_tcp_getsockname (&server.listener, (struct sockaddr *)&address, &len);
-  uv_listen ((uv_stream_t *)&server.listener, 1, server_on_connection);
-  assert_int_equal (plat_http_create (&http, &server.loop), TOU_OK);
+  uv_tcp_init (&server->loop, &server->listener);
+  server->listener.data = server;
+  uv_tcp_bind (&server->listener, (const struct sockaddr *)&address, 0);
+  uv_tcp_getsockname (&server->listener, (struct sockaddr *)&address, &len);
+  uv_listen ((uv_stream_t *)&server->listener, 1, server_on_connection);
+  assert_int_equal (plat_http_create (&http, &server->loop), TOU_OK);
   url = g_strdup_printf ("http://127.0.0.1:%u/promote",
                          g_ntohs (address.sin_port));
   call.url = url;
-  plat_http_call (http, &call, server_on_answer, &server);
+  plat_http_call (http, &call, server_on_answer, server);
+  g_free (url);
+  return http;
+}
+
+static void
+server_stop (Server *server)
+{
+  uv_close ((uv_handle_t *)&server->peer, NULL);
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  uv_run (&server->loop, UV_RUN_DEFAULT);
+  assert_int_equal (uv_loop_close (&server->loop), 0);
+}
+
+/* Guards against an order that arrives after its timeout, when another leader
+   may have given the next one: the kernel goes on sending bytes of a connection
+   that was closed, as soon as a cut link works again. */
+static void
+test_unsent_bytes_are_discarded (void **state)
+{
+  Server server;
+  PlatHttp *http = server_start (&server, 200 * TOU_US_PER_MS);
+
+  (void)state;
   while (!server.answered || !server.accepted)
     uv_run (&server.loop, UV_RUN_ONCE);
   assert_int_equal (server_peer_state (&server), TCP_CLOSE);
-  uv_close ((uv_handle_t *)&server.peer, NULL);
-  uv_close ((uv_handle_t *)&server.listener, NULL);
   plat_http_destroy (http);
-  uv_run (&server.loop, UV_RUN_DEFAULT);
-  assert_int_equal (uv_loop_close (&server.loop), 0);
-  g_free (url);
+  server_stop (&server);
+}
+
+/* Guards against an abort in the event loop, which goes on polling the closed
+   socket of a request that was in progress when its client was destroyed. */
+static void
+test_request_in_progress_ends_with_client (void **state)
+{
+  Server server;
+  PlatHttp *http = server_start (&server, 60 * TOU_US_PER_S);
+
+  (void)state;
+  while (!server.accepted)
+    uv_run (&server.loop, UV_RUN_ONCE);
+  plat_http_destroy (http);
+  assert_true (server.answered);
+  server_stop (&server);
 }
 
 int
@@ -95,6 +129,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_unsent_bytes_are_discarded),
+    cmocka_unit_test (test_request_in_progress_ends_with_client),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
