Test that silent connections to the store do not delay a change

test-connections runs nodes with the real HTTP client against the store stand-in, which is served on loopback and whose open or idle connections can go silent while new ones work. For that, the stand-in's calls and its client without a network are two files now.

The bound is the fleet's configApplyMs, 3 s.

--- a/tests/control/control-fleet.c
+++ b/tests/control/control-fleet.c
@@ -44,11 +44,11 @@
   if (killed->proxy == NULL)
     return;
   fleet_cut (fleet, node, TRUE);
+  plat_http_destroy (killed->http);
   tou_control_destroy (killed->control);
   tou_peers_destroy (killed->peers);
   tou_proxy_destroy (killed->proxy);
   plat_store_destroy (killed->store);
-  plat_http_destroy (killed->http);
   memset (killed, 0, sizeof *killed);
 }
 
@@ -69,6 +69,8 @@
   FleetNode *node = &fleet->nodes[fleet->n_nodes];
   TouNodeSettings settings = { 0 };
   char *name = g_strdup_printf ("node%u", fleet->n_nodes++);
+  const char *store
+      = fleet->store_address.len > 0 ? fleet->store_address.data : name;
 
   node->kv = fleet->kv;
   settings.node = tou_name (name);
@@ -78,8 +80,8 @@
   settings.lease_min_us = LEASE_MIN_US;
   settings.drain_us = DRAIN_US;
   g_assert_cmpint (plat_http_create (&node->http, &fleet->loop), ==, TOU_OK);
-  g_assert_cmpint (plat_store_create (&node->store, node->http, name, name), ==,
-                   TOU_OK);
+  g_assert_cmpint (plat_store_create (&node->store, node->http, store, store),
+                   ==, TOU_OK);
   g_assert_cmpint (tou_proxy_create (&node->proxy, &fleet->loop, &settings), ==,
                    TOU_OK);
   g_assert_cmpint (tou_peers_create (&node->peers, node->proxy), ==, TOU_OK);
@@ -221,7 +223,14 @@
 gboolean
 fleet_wait (ControlFleet *fleet, FleetCondition condition, guint64 value)
 {
-  guint64 end_us = tou_clock_us () + WAIT_US;
+  return fleet_wait_us (fleet, WAIT_US, condition, value);
+}
+
+gboolean
+fleet_wait_us (ControlFleet *fleet, guint64 time_us, FleetCondition condition,
+               guint64 value)
+{
+  guint64 end_us = tou_clock_us () + time_us;
 
   while (fleet_count (fleet, condition, value) < fleet_running (fleet))
     {
--- a/tests/control/control-fleet.h
+++ b/tests/control/control-fleet.h
@@ -27,6 +27,7 @@
   uv_loop_t loop;
   uv_timer_t timer;
   KvStandin *kv;
+  TouName store_address; /**< empty: each node calls kv under its own name */
   guint n_nodes;
   FleetNode nodes[FLEET_MAX_NODES];
 } ControlFleet;
@@ -72,6 +73,9 @@
 /** Runs until all nodes meet the condition; FALSE if they don't in 20 s. */
 gboolean fleet_wait (ControlFleet *fleet, FleetCondition condition,
                      guint64 value);
+/** The same with a time limit. */
+gboolean fleet_wait_us (ControlFleet *fleet, guint64 time_us,
+                        FleetCondition condition, guint64 value);
 /** Runs for @a time_us; FALSE if a node met the condition meanwhile. */
 gboolean fleet_run_without (ControlFleet *fleet, guint64 time_us,
                             FleetCondition condition, guint64 value);
--- a/tests/control/kv-standin.c
+++ b/tests/control/kv-standin.c
@@ -1,7 +1,6 @@
 #include "kv-standin.h"
 
 #include "clock.h"
-#include "http.h"
 
 #include <jansson.h>
 
@@ -56,11 +55,6 @@
   GHashTable *written; /* key to guint64 */
 };
 
-struct PlatHttp
-{
-  uv_loop_t *loop;
-};
-
 typedef struct
 {
   uv_timer_t timer;
@@ -75,7 +69,7 @@
   gboolean waiting; /* a watch without events */
 } KvCall;
 
-static KvStandin *kv_current;
+static KvStandin *kv_latest_store;
 
 static gint
 kv_compare (gconstpointer a, gconstpointer b, gpointer data)
@@ -502,7 +496,7 @@
   uv_timer_init (loop, &kv->lease_timer);
   kv->lease_timer.data = kv;
   uv_timer_start (&kv->lease_timer, kv_on_lease_timer, 0, KV_LEASE_CHECK_MS);
-  kv_current = kv;
+  kv_latest_store = kv;
   return kv;
 }
 
@@ -524,7 +518,13 @@
   g_hash_table_destroy (kv->cut);
   g_hash_table_destroy (kv->written);
   uv_close ((uv_handle_t *)&kv->lease_timer, kv_on_destroyed);
-  kv_current = NULL;
+  kv_latest_store = NULL;
+}
+
+KvStandin *
+kv_latest (void)
+{
+  return kv_latest_store;
 }
 
 void
@@ -649,29 +649,15 @@
   kv_drop_calls (kv, NULL);
 }
 
-int
-plat_http_create (PlatHttp **out, uv_loop_t *loop)
-{
-  *out = g_new0 (PlatHttp, 1);
-  (*out)->loop = loop;
-  return TOU_OK;
-}
-
-void
-plat_http_destroy (PlatHttp *http)
-{
-  g_free (http);
-}
-
 void
-plat_http_call (PlatHttp *http, const PlatHttpCall *request, PlatHttpDone done,
-                gpointer user_data)
+kv_call (KvStandin *kv, const PlatHttpCall *request, PlatHttpDone done,
+         gpointer user_data)
 {
   KvCall *call = g_new0 (KvCall, 1);
   GUri *uri = g_uri_parse (request->url, G_URI_FLAGS_NONE, NULL);
 
   g_assert_nonnull (uri);
-  call->kv = kv_current;
+  call->kv = kv;
   call->done = done;
   call->user_data = user_data;
   call->method = g_strdup (request->method);
@@ -683,7 +669,7 @@
   call->body
       = request->body != NULL ? json_loads (request->body, 0, NULL) : NULL;
   g_uri_unref (uri);
-  uv_timer_init (http->loop, &call->timer);
+  uv_timer_init (kv->loop, &call->timer);
   call->timer.data = call;
   g_ptr_array_add (call->kv->calls, call);
   uv_timer_start (&call->timer, kv_on_call, KV_CALL_MS, 0);
--- a/tests/control/kv-standin.h
+++ b/tests/control/kv-standin.h
@@ -1,15 +1,15 @@
 /**
  * @file kv-standin.h
- * In-process stand-in for the platform's key-value store. It implements the
- * HTTP client of platform/http.h, so that the store's client runs unchanged
- * without a network.
+ * In-process stand-in for the platform's key-value store. The store's client
+ * runs unchanged: kv-client.c implements the HTTP client of platform/http.h
+ * without a network, and kv-server.h serves the store on loopback.
  *
  * Patterns: the store is restored from a copy some seconds old, so that
  * revisions and leases are given out again; some nodes are cut off from it.
  */
 #pragma once
 
-#include "toucanscale/types.h"
+#include "http.h"
 
 #include <uv.h>
 
@@ -17,11 +17,16 @@
 
 typedef struct KvStandin KvStandin;
 
-/** Creates the store that all HTTP clients of the process reach. */
 KvStandin *kv_create (uv_loop_t *loop);
+/** The store that was created last, which kv-client.c calls. */
+KvStandin *kv_latest (void);
 /** Drops all calls. The loop must run once more before it is closed. */
 void kv_destroy (KvStandin *kv);
 
+/** Runs a call; a host name in its URL is the name of the calling node. */
+void kv_call (KvStandin *kv, const PlatHttpCall *request, PlatHttpDone done,
+              gpointer user_data);
+
 /** Writes a key as the operator, a database or an earlier process would. */
 void kv_put (KvStandin *kv, const char *key, const char *value);
 /** Removes a key, as the store does when a registration expires. */
