--- a/src/session/control.c
+++ b/src/session/control.c
@@ -167,8 +167,6 @@
   control_check_era (control, reply, call);
   control_check_outage (control, reply, answered);
   TOU_COUNT (control->proxy, STORE_CALLS);
-  if (reply->reused)
-    TOU_COUNT (control->proxy, STORE_REUSED);
   if (answered)
     control->proxy->store_answered_us = tou_clock_us ();
   else
@@ -177,14 +175,10 @@
   if (control->proxy->deregistered)
     return;
   if (!answered)
-    {
-      tou_evlog (TOU_EVLOG_FAILURE, "store_call_failed",
-                 "\"call\":\"%s\",\"answer\":\"%s\",\"waited_ms\":"
-                 "%" G_GUINT64_FORMAT ",\"connection\":\"%s\"",
-                 call, answer,
-                 (tou_clock_us () - reply->sent_us) / TOU_US_PER_MS,
-                 reply->reused ? "reused" : "new");
-    }
+    tou_evlog (
+        TOU_EVLOG_FAILURE, "store_call_failed",
+        "\"call\":\"%s\",\"answer\":\"%s\",\"waited_ms\":%" G_GUINT64_FORMAT,
+        call, answer, (tou_clock_us () - reply->sent_us) / TOU_US_PER_MS);
   if (answered == control->connected)
     return;
   control->connected = answered;
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -59,7 +59,6 @@
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
-  X (STORE_REUSED, "store_reused_total", "store calls on open connections")    \
   X (PROOF_READS, "proof_reads_total", "reads of the records for a proof")     \
   X (STORE_FAILED, "store_failed_total", "store calls refused or lost")        \
   X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
