Replace a silent watch within the time allowed for a configuration

Cause: the only end of a silent watch was its time-out: two thirds of the time allowed, 1.2 s, and a pause of 200 ms. Up to 16 nodes, and for members of the panel, nothing replaced it before. Ruled out: a shorter time-out, as a large change over a slow link takes more than a second to arrive; a replaced watch is still read.

A watch waits for half of the time allowed and is replaced after two thirds, members of the panel, on which the others rely, after a quarter and a third. With the pause of at most a fifth before it, 13 of 15 parts of the time are used when the next watch, on a connection of its own, is sent; it returns at once. watch_replaced is logged.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -9,14 +9,17 @@
 
 #define CONTROL_NODE_PREFIX "tou/node/"
 
-/* A watch without changes returns after two thirds of the time within which a
-   configuration must be applied, so that the next one detects a dead
-   connection in time. */
-#define CONTROL_WATCH_NUMERATOR 2
-#define CONTROL_WATCH_DENOMINATOR 3
-/* Members of the panel, on which the others rely, watch for this share of the
-   time within which a configuration must be applied. */
-#define CONTROL_WATCH_MEMBER_DIVISOR 4
+/* Shares of the time within which a configuration must be applied, in 60ths: a
+   watch without changes returns after the first, and one that has not returned
+   after the second is replaced, since its connection may be silent. The pause
+   before a watch, this limit and an immediate answer to the next watch fit into
+   the time. */
+#define CONTROL_WATCH_WAIT 30
+#define CONTROL_WATCH_LIMIT 40
+/* The same for members of the panel, on which the others rely. */
+#define CONTROL_WATCH_MEMBER_WAIT 15
+#define CONTROL_WATCH_MEMBER_LIMIT 20
+#define CONTROL_WATCH_WHOLE 60
 /* Pause after a watch that returned changes, multiplied by the number of nodes.
    When all nodes start at once, each registration wakes every other node; the
    pause limits all nodes together to 125 calls a second. Its maximum is a fifth
@@ -482,14 +485,20 @@
   control->proxy->synced = TRUE;
 }
 
+/* TRUE if this node is in the panel, on which the others rely. */
+static gboolean
+control_is_member (const TouControl *control)
+{
+  return tou_panel_contains (&control->proxy->panel,
+                             &control->proxy->settings.node);
+}
+
 /* Delays the next list or watch after a failed one. The store may turn many
    nodes away for seconds, and is loaded by each of their calls. */
 static void
 control_pause_after_failure (TouControl *control, guint64 now_us)
 {
-  const TouProxy *proxy = control->proxy;
-
-  if (tou_panel_contains (&proxy->panel, &proxy->settings.node)
+  if (control_is_member (control)
       || !tou_peers_reach_panel (control->peers, now_us))
     control->retry_pause_us = CONTROL_RETRY_US;
   control->retry_after_us = now_us + control->retry_pause_us;
@@ -561,7 +570,7 @@
      clients. */
   if (tou_clock_us () < proxy->link_hold_until_us)
     return 2 * limit_us;
-  if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
+  if (control_is_member (control))
     return CONTROL_WATCH_PAUSE_MEMBER_US;
   return MIN (pause_us, limit_us);
 }
@@ -612,38 +621,42 @@
 }
 
 static guint64
-control_short_watch_us (const TouControl *control)
+control_watch_wait_us (const TouControl *control)
 {
-  return control->proxy->settings.config_apply_us * CONTROL_WATCH_NUMERATOR
-         / CONTROL_WATCH_DENOMINATOR;
+  return control->proxy->settings.config_apply_us
+         * (control_is_member (control) ? CONTROL_WATCH_MEMBER_WAIT
+                                        : CONTROL_WATCH_WAIT)
+         / CONTROL_WATCH_WHOLE;
 }
 
 static guint64
-control_watch_wait_us (const TouControl *control)
+control_watch_limit_us (const TouControl *control)
 {
-  const TouProxy *proxy = control->proxy;
-
-  if (tou_panel_contains (&proxy->panel, &proxy->settings.node))
-    return proxy->settings.config_apply_us / CONTROL_WATCH_MEMBER_DIVISOR;
-  return control_short_watch_us (control);
+  return control->proxy->settings.config_apply_us
+         * (control_is_member (control) ? CONTROL_WATCH_MEMBER_LIMIT
+                                        : CONTROL_WATCH_LIMIT)
+         / CONTROL_WATCH_WHOLE;
 }
 
 /* Starts the next list or watch if none is running. */
 static void
 control_follow_store (TouControl *control, guint64 now_us)
 {
-  const TouProxy *proxy = control->proxy;
   TouFollowPanel panel;
   ControlWatch *call;
 
   tou_peers_store (&panel, control->peers, now_us);
   /* The panel and the leader rely on no other node. */
-  if (control->is_leader
-      || tou_panel_contains (&proxy->panel, &proxy->settings.node))
+  if (control->is_leader || control_is_member (control))
     panel.informed = FALSE;
-  if (proxy->panel.revision != 0)
-    tou_follow_check (&control->follow, &panel,
-                      control_short_watch_us (control), now_us);
+  if (tou_follow_check (&control->follow, &panel,
+                        control_watch_limit_us (control), now_us))
+    tou_evlog (TOU_EVLOG_STATE, "watch_replaced",
+               "\"waited_ms\":%" G_GUINT64_FORMAT
+               ",\"revision\":%" G_GUINT64_FORMAT
+               ",\"panel_revision\":%" G_GUINT64_FORMAT,
+               (now_us - control->follow.sent_us) / TOU_US_PER_MS,
+               control->follow.revision, panel.revision);
   if (control->listing || control->follow.awaited != 0
       || now_us < control->retry_after_us)
     return;
@@ -844,8 +857,7 @@
                       % CONTROL_ELECTION_SPREAD_MS * TOU_US_PER_MS;
 
   /* A leader in the panel receives the heartbeats of all nodes already. */
-  if (proxy->panel.revision != 0
-      && !tou_panel_contains (&proxy->panel, &proxy->settings.node))
+  if (proxy->panel.revision != 0 && !control_is_member (control))
     spread_us += CONTROL_ELECTION_OUTSIDE_US;
   if (!control_reaches_majority (control, now_us))
     spread_us += CONTROL_ELECTION_MINORITY_US;
--- a/src/session/follow.c
+++ b/src/session/follow.c
@@ -14,7 +14,7 @@
 tou_follow_init (TouFollow *follow)
 {
   *follow = (TouFollow){ 0 };
-  follow->limit_us = FOLLOW_BEHIND_US;
+  follow->behind_limit_us = FOLLOW_BEHIND_US;
 }
 
 TouWatch
@@ -37,23 +37,26 @@
              && now_us >= follow->applied_us + FOLLOW_OTHERS_US);
 }
 
-void
+gboolean
 tou_follow_check (TouFollow *follow, const TouFollowPanel *panel,
-                  guint64 short_us, guint64 now_us)
+                  guint64 limit_us, guint64 now_us)
 {
   if (follow->awaited == 0)
-    return;
+    return FALSE;
   if (panel->revision <= follow->revision)
     follow->behind_us = 0;
   else if (follow->behind_us == 0)
     follow->behind_us = now_us;
-  if (follow->behind_us != 0 && now_us >= follow->behind_us + follow->limit_us)
+  if (follow->behind_us != 0
+      && now_us >= follow->behind_us + follow->behind_limit_us)
     {
       follow->awaited = 0;
-      follow->limit_us = MIN (2 * follow->limit_us, FOLLOW_BEHIND_MAX_US);
+      follow->behind_limit_us
+          = MIN (2 * follow->behind_limit_us, FOLLOW_BEHIND_MAX_US);
     }
-  else if (!panel->informed && now_us >= follow->sent_us + short_us)
+  else if (!panel->informed && now_us >= follow->sent_us + limit_us)
     follow->awaited = 0;
+  return follow->awaited == 0;
 }
 
 gboolean
@@ -83,5 +86,5 @@
   follow->revision = revision;
   follow->applied_us = now_us;
   follow->behind_us = 0;
-  follow->limit_us = FOLLOW_BEHIND_US;
+  follow->behind_limit_us = FOLLOW_BEHIND_US;
 }
--- a/src/session/follow.h
+++ b/src/session/follow.h
@@ -37,7 +37,8 @@
   guint n_watches;    /**< number of watches so far */
   guint64 sent_us;    /**< when the current one was sent */
   guint64 behind_us;  /**< since when the panel has a newer revision; 0: no */
-  guint64 limit_us; /**< time after which a watch that is behind is replaced */
+  guint64
+      behind_limit_us; /**< after which a watch that is behind is replaced */
 } TouFollow;
 
 void tou_follow_init (TouFollow *follow);
@@ -51,10 +52,12 @@
 
 /**
  * Replaces the current watch if it is behind the panel for too long, or if it
- * was sent @a short_us ago and the panel does not inform this node.
+ * was sent @a limit_us ago and the panel does not inform this node.
+ *
+ * @return TRUE if it is replaced
  */
-void tou_follow_check (TouFollow *follow, const TouFollowPanel *panel,
-                       guint64 short_us, guint64 now_us);
+gboolean tou_follow_check (TouFollow *follow, const TouFollowPanel *panel,
+                           guint64 limit_us, guint64 now_us);
 
 /**
  * Handles the end of @a watch.
--- a/tests/control/connections-script.c
+++ b/tests/control/connections-script.c
@@ -117,6 +117,8 @@
     fleet_configure (&script->fleet, number);
   else if (strcmp (words[0], "await-version") == 0)
     run_await_version (script, number, last_ms * TOU_US_PER_MS);
+  else if (strcmp (line, "touch") == 0)
+    kv_put (script->fleet.kv, "op/unused", "");
   else if (strcmp (words[0], "calls") == 0)
     run_calls (script, number);
   else if (strcmp (words[0], "wait") == 0)
--- a/tests/control/connections-script.h
+++ b/tests/control/connections-script.h
@@ -8,6 +8,7 @@
  *     panel N               the first N nodes are the panel
  *     silence open|idle     open connections, or those without a call, go
  * silent configure V           the operator writes a configuration
+ *     touch                 a key without a meaning is written; watches return
  *     await-version V T     all nodes use it within T
  *     calls N               N calls at once, whose answers are counted
  *     wait T
