Send each call of the HTTP daemon's store on its own connection

In toucanscaled, reads, keep-alives of leases and the list of VMs used libcurl's pool. After a call that waited for its time-out on a silent connection, the next one could take another, so that a watcher's lease ended although the store was there.

Writes had connections of their own already, for another reason. A watch that is silent is found by keep-alives that name a newer revision, and these no longer wait.

Test: test-store, silent connection; without the change the second call is not answered.

--- a/src/io/store-call.c
+++ b/src/io/store-call.c
@@ -127,15 +127,10 @@
                       transfer->settings->ca_file);
   if (transfer->vm_list || transfer->op != TOU_STORE_WATCH)
     curl_easy_setopt (transfer->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
-  /* libcurl silently resends a request if the store has just closed the reused
-     connection. A write must not be executed twice. */
-  if (!transfer->vm_list
-      && (transfer->op == TOU_STORE_CAS
-          || transfer->op == TOU_STORE_LEASE_GRANT))
-    {
-      curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (transfer->easy, CURLOPT_FORBID_REUSE, 1L);
-    }
+  /* An open connection may have gone silent. Besides, libcurl silently resends
+     a request if the store has just closed the reused connection, and a write
+     must not be executed twice. */
+  curl_easy_setopt (transfer->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 static void
--- a/tests/test-store.c
+++ b/tests/test-store.c
@@ -11,7 +11,10 @@
 #include "support/process.h"
 #include "toucanscale/ring.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Fails a test that hangs; not reached otherwise. */
 #define TEST_TIMEOUT_US (60 * TOU_US_PER_S)
@@ -340,6 +343,69 @@
   assert_false (event.u.vm_list.ok);
 }
 
+/* A store on loopback that answers one call on each connection and is silent on
+   it from then on, until the client closes it. */
+static gpointer
+silent_store_run (gpointer data)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: 25\r\n\r\n{\"header\":{\"revision\":5}}";
+  int listener = GPOINTER_TO_INT (data);
+  int connections[2];
+  char buf[4096];
+
+  for (guint i = 0; i < G_N_ELEMENTS (connections); i++)
+    {
+      connections[i] = accept (listener, NULL, NULL);
+      if (connections[i] < 0)
+        return NULL;
+      if (recv (connections[i], buf, sizeof buf, 0) > 0)
+        send (connections[i], answer, sizeof answer - 1, MSG_NOSIGNAL);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (connections); i++)
+    {
+      while (recv (connections[i], buf, sizeof buf, 0) > 0)
+        ;
+      close (connections[i]);
+    }
+  return NULL;
+}
+
+/* Guards against calls, such as keep-alives of leases, that wait on an open
+   connection which has gone silent. */
+static void
+test_silent_connection_is_not_used (void **state)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  TouStoreCall call = { .op = TOU_STORE_GET };
+  GThread *store;
+  char *url;
+
+  (void)state;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  assert_int_equal (bind (listener, (struct sockaddr *)&address, len), 0);
+  assert_int_equal (listen (listener, 2), 0);
+  getsockname (listener, (struct sockaddr *)&address, &len);
+  url = g_strdup_printf ("http://127.0.0.1:%u", ntohs (address.sin_port));
+  store = g_thread_new ("store", silent_store_run, GINT_TO_POINTER (listener));
+  tou_store_destroy (client);
+  start_client (url, TEST_STALL_TIMEOUT_US);
+  for (guint i = 0; i < 2; i++)
+    {
+      TouStoreResult result
+          = wait_result (submit (call, "/silent", NULL), TOU_STORE_OK);
+
+      tou_store_result_clear (&result);
+    }
+  shutdown (listener, SHUT_RDWR);
+  g_thread_join (store);
+  close (listener);
+  g_free (url);
+}
+
 #define STORE_TEST(name)                                                       \
   cmocka_unit_test_setup_teardown (name, client_start, client_stop)
 
@@ -354,6 +420,7 @@
     STORE_TEST (test_lease_expires),
     STORE_TEST (test_outcomes_while_the_store_is_down),
     STORE_TEST (test_malformed_vm_list_is_reported),
+    STORE_TEST (test_silent_connection_is_not_used),
   };
 
   return cmocka_run_group_tests (tests, standin_start, standin_stop);
