Soak the store's connections, and write down how they are used

The soak lets connections to the store go silent, all open ones or the idle ones, up to twice a round, under one to three configurations and restarts of nodes; each last configuration must be in force on all nodes within 3 s.

--- a/tests/control/connections-script.h
+++ b/tests/control/connections-script.h
@@ -11,6 +11,8 @@
  *     touch                 a key without a meaning is written; watches return
  *     await-version V T     all nodes use it within T
  *     calls N               N calls at once, whose answers are counted
+ *     soak SEED N           N rounds of faults and configurations; the variable
+ *                           TOU_SOAK_SEED replaces the seed
  *     wait T
  */
 #pragma once
