Let estimates of a queue recover from a silent database

Cause: the queue's estimate of a statement's cost took in the seconds in which a primary was silent. It then exceeded every time limit, each statement was refused as too late, and no measurement was left to correct it. The session proxy never marked a statement as a probe, as the gate of src/core does, so an idle database was refused for good.

Change: an estimate falls by an eighth for each 200 ms without a measurement; the session proxy admits a probe when the queue is empty and nothing is in flight; a sample counts at most 500 ms, after which a database is treated as unreachable, also in the window, whose pauses follow the same average.

Ruled out: endpoint latency decays already, pauses after LAGGING end at 80 ms, and avoided gateways are avoided for 3 s only.

Result: test-queue has an estimate of 3 s that rejects a statement with 1 s left after 200 ms and accepts it after 5 s; before, it was rejected for good.

--- a/src/core/gate-ack.c
+++ b/src/core/gate-ack.c
@@ -340,7 +340,7 @@
   tou_str_move (&job->reply.message, &event->u.db_result.message);
   if (outcome == TOU_DB_DONE || outcome == TOU_DB_REJECTED)
     tou_queue_record_cost (db->queue, job->request.rank,
-                           gate->ctx->now_us - job->sent_us);
+                           gate->ctx->now_us - job->sent_us, gate->ctx->now_us);
   ack_release_conn (job, conn, outcome);
   switch (outcome)
     {
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -4,6 +4,10 @@
 #define TOU_QUEUE_FIRST_COST_US 1000
 /* Weight of a new measurement in the moving average: 1 / 8. */
 #define TOU_QUEUE_COST_SHIFT 3
+/* Interval without a measurement after which an estimate falls by an eighth. An
+   estimate above all time limits rejects the statements that would correct it,
+   so it has to fall by itself. */
+#define TOU_QUEUE_COST_DECAY_US (200 * TOU_US_PER_MS)
 /* Credit is capped at this many statements, so that a rank that was blocked
    for a long time does not delay the urgent rank with a burst. */
 #define TOU_QUEUE_MAX_CREDIT 4
@@ -32,6 +36,7 @@
 {
   GQueue lanes[QUEUE_LANES];
   guint64 cost_us;          /* estimated service time of one statement */
+  guint64 cost_updated_us;  /* last measurement or decay */
   guint64 backlog_us;       /* sum of the costs of the queued items */
   guint64 waiting_since_us; /* start of the backlog */
   guint64 credit;           /* in us / TOU_QUEUE_CREDIT_UNIT */
@@ -141,6 +146,19 @@
          <= item->deadline_us;
 }
 
+static void
+queue_decay_cost (TouQueueRank *rank, guint64 now_us)
+{
+  while (rank->cost_us > TOU_QUEUE_FIRST_COST_US
+         && now_us >= rank->cost_updated_us + TOU_QUEUE_COST_DECAY_US)
+    {
+      rank->cost_us
+          = MAX (rank->cost_us - (rank->cost_us >> TOU_QUEUE_COST_SHIFT),
+                 TOU_QUEUE_FIRST_COST_US);
+      rank->cost_updated_us += TOU_QUEUE_COST_DECAY_US;
+    }
+}
+
 int
 tou_queue_push (TouQueue *queue, TouQueueItem *item, guint64 now_us,
                 guint64 *retry_after_us)
@@ -148,8 +166,10 @@
   TouQueueRank *rank = &queue->ranks[item->rank];
   guint64 wait_us = tou_queue_wait_us (queue, item->rank, now_us);
   guint64 remaining_us = item->deadline_us - MIN (now_us, item->deadline_us);
-  guint64 needed_us = wait_us + rank->cost_us + item->reserve_us;
+  guint64 needed_us;
 
+  queue_decay_cost (rank, now_us);
+  needed_us = wait_us + rank->cost_us + item->reserve_us;
   item->cost_us = rank->cost_us;
   if (queue_rank_length (rank) >= queue->limit)
     {
@@ -308,10 +328,12 @@
 }
 
 void
-tou_queue_record_cost (TouQueue *queue, TouRank rank, guint64 cost_us)
+tou_queue_record_cost (TouQueue *queue, TouRank rank, guint64 cost_us,
+                       guint64 now_us)
 {
   guint64 *average_us = &queue->ranks[rank].cost_us;
 
+  queue->ranks[rank].cost_updated_us = now_us;
   *average_us = *average_us - (*average_us >> TOU_QUEUE_COST_SHIFT)
                 + (cost_us >> TOU_QUEUE_COST_SHIFT);
   *average_us = MAX (*average_us, 1);
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -77,8 +77,12 @@
 /** Removes and returns any item, or returns NULL; for shutdown. */
 TouQueueItem *tou_queue_pop_any (TouQueue *queue);
 
-/** Updates the estimate with the time for which a statement used a slot. */
-void tou_queue_record_cost (TouQueue *queue, TouRank rank, guint64 cost_us);
+/**
+ * Updates the estimate with the time for which a statement used a slot. Without
+ * further measurements the estimate decays.
+ */
+void tou_queue_record_cost (TouQueue *queue, TouRank rank, guint64 cost_us,
+                            guint64 now_us);
 
 /** Returns the estimated wait of a new request of @a rank, in us. */
 guint64 tou_queue_wait_us (const TouQueue *queue, TouRank rank, guint64 now_us);
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -174,6 +174,28 @@
   return TRUE;
 }
 
+static TouQueue *
+client_queue (const TouClient *client, const TouGroup *group)
+{
+  return client->request.needs_primary ? group->writes : group->reads;
+}
+
+/* TRUE if nothing that could correct the queue's estimates is in progress. */
+static gboolean
+client_is_probe (const TouClient *client, TouGroup *group)
+{
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  if (tou_queue_length (client_queue (client, group)) > 0)
+    return FALSE;
+  if (client->request.needs_primary)
+    return primary != NULL && primary->n_busy == 0;
+  for (guint i = 0; i < group->endpoints->len; i++)
+    if (((TouEndpoint *)g_ptr_array_index (group->endpoints, i))->n_busy > 0)
+      return FALSE;
+  return TRUE;
+}
+
 /* Queues the statement for the primary or for any endpoint of the group. */
 static void
 client_enqueue (TouClient *client)
@@ -198,9 +220,9 @@
   memset (&request->item, 0, sizeof request->item);
   request->item.rank = client->route.rank;
   request->item.deadline_us = request->deadline_us;
-  status
-      = tou_queue_push (request->needs_primary ? group->writes : group->reads,
-                        &request->item, now_us, &retry_us);
+  request->item.probe = client_is_probe (client, group);
+  status = tou_queue_push (client_queue (client, group), &request->item, now_us,
+                           &retry_us);
   if (status == TOU_OK)
     return;
   g_snprintf (reason, sizeof reason, "%s; retry after %" G_GUINT64_FORMAT " ms",
@@ -384,12 +406,13 @@
     client->link = NULL;
   if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
     {
-      tou_endpoint_add_latency (endpoint, now_us - task->sent_us, now_us);
-      tou_window_answered (&endpoint->window, now_us - task->sent_us,
-                           group->target_us, endpoint->info.slots, now_us);
-      tou_queue_record_cost (request->needs_primary ? group->writes
-                                                    : group->reads,
-                             client->route.rank, now_us - task->sent_us);
+      guint64 elapsed_us = MIN (now_us - task->sent_us, TOU_SERVICE_MAX_US);
+
+      tou_endpoint_add_latency (endpoint, elapsed_us, now_us);
+      tou_window_answered (&endpoint->window, elapsed_us, group->target_us,
+                           endpoint->info.slots, now_us);
+      tou_queue_record_cost (client_queue (client, group), client->route.rank,
+                             elapsed_us, now_us);
       if (result->pos.term != 0)
         tou_group_sample (group, endpoint, task->sent_us, result->pos);
     }
@@ -839,9 +862,7 @@
   if (client->busy)
     {
       group = tou_group_get (client->proxy, &client->route.group);
-      tou_queue_remove (client->request.needs_primary ? group->writes
-                                                      : group->reads,
-                        &client->request.item);
+      tou_queue_remove (client_queue (client, group), &client->request.item);
     }
   client_release_link (client);
   g_queue_unlink (&client->proxy->clients, &client->list_node);
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -184,10 +184,13 @@
 static void
 relay_enqueue (TouRelay *relay)
 {
+  TouEndpoint *endpoint = relay->endpoint;
   guint64 retry_us = 0;
 
-  if (tou_queue_push (relay->endpoint->relay_queue, &relay->item,
-                      tou_clock_us (), &retry_us)
+  relay->item.probe
+      = endpoint->n_busy == 0 && tou_queue_length (endpoint->relay_queue) == 0;
+  if (tou_queue_push (endpoint->relay_queue, &relay->item, tou_clock_us (),
+                      &retry_us)
       != TOU_OK)
     relay_refuse (relay, "queue is too long");
 }
@@ -196,12 +199,13 @@
 relay_measure (TouRelay *relay, guint64 now_us)
 {
   TouEndpoint *endpoint = relay->endpoint;
-  guint64 elapsed_us = now_us - relay->task.sent_us;
+  guint64 elapsed_us = MIN (now_us - relay->task.sent_us, TOU_SERVICE_MAX_US);
 
   tou_window_answered (&endpoint->window, elapsed_us,
                        endpoint->group->target_us, endpoint->info.slots,
                        now_us);
-  tou_queue_record_cost (endpoint->relay_queue, relay->item.rank, elapsed_us);
+  tou_queue_record_cost (endpoint->relay_queue, relay->item.rank, elapsed_us,
+                         now_us);
 }
 
 static void
--- a/src/session/window.h
+++ b/src/session/window.h
@@ -13,6 +13,13 @@
 
 G_BEGIN_DECLS
 
+/**
+ * Longest time that counts as a statement's service time. A database that does
+ * not answer for this long is treated as unreachable, so a longer time contains
+ * a silence, which says nothing about the time of the next statement.
+ */
+#define TOU_SERVICE_MAX_US (500 * TOU_US_PER_MS)
+
 typedef struct
 {
   double size;          /**< statements in flight; below 1: one, with pauses */
--- a/tests/test-queue.c
+++ b/tests/test-queue.c
@@ -123,7 +123,7 @@
 
   (void)state;
   for (guint i = 0; i < 100; i++)
-    tou_queue_record_cost (queue, TOU_RANK_URGENT, TOU_US_PER_S);
+    tou_queue_record_cost (queue, TOU_RANK_URGENT, TOU_US_PER_S, 0);
   assert_int_equal (tou_queue_push (queue, &items[0], 0, &retry_us),
                     TOU_E_DEADLINE);
   items[1].probe = TRUE;
@@ -133,6 +133,29 @@
   tou_queue_destroy (queue);
 }
 
+/* An estimate that a silent database has raised above all time limits must not
+ * reject every request from then on: no request would be measured any more. */
+static void
+test_estimate_recovers_without_measurements (void **state)
+{
+  TouQueueItem item = { 0 };
+  TouQueue *queue = queue_new (2, 1);
+  guint64 retry_us = 0;
+
+  (void)state;
+  for (guint i = 0; i < 100; i++)
+    tou_queue_record_cost (queue, TOU_RANK_URGENT, 3 * TOU_US_PER_S, 0);
+  item.deadline_us = TOU_US_PER_S;
+  assert_int_equal (
+      tou_queue_push (queue, &item, 200 * TOU_US_PER_MS, &retry_us),
+      TOU_E_DEADLINE);
+  item.deadline_us = 6 * TOU_US_PER_S;
+  assert_int_equal (tou_queue_push (queue, &item, 5 * TOU_US_PER_S, &retry_us),
+                    TOU_OK);
+  assert_ptr_equal (tou_queue_pop (queue, TRUE), &item);
+  tou_queue_destroy (queue);
+}
+
 /* A statement of a transaction must not queue behind a request that waits for a
  * connection: its own transaction may hold that connection. */
 static void
@@ -160,6 +183,7 @@
     cmocka_unit_test (test_urgent_goes_first_under_status_flood),
     cmocka_unit_test (test_push_checks_deadline_and_rank_limit),
     cmocka_unit_test (test_idle_database_is_probed),
+    cmocka_unit_test (test_estimate_recovers_without_measurements),
     cmocka_unit_test (test_pinned_items_need_no_connection),
   };
 
