Let the panel's side of a partition change a primary

Cause: a leader gave its lease up, and began no change of primary, when fewer than half of the nodes sent heartbeats. With a panel, a change needs the panel only.

Change: both conditions ask for a majority of the voters: the panel, or all nodes where there is none. Ruled out: removing nodes from the registry and trusting proofs keep the majority of all nodes.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -73,6 +73,7 @@
   out->record_us = state->group->adopted_us;
   out->sync_replicas = group->limits.sync_replicas;
   out->n_nodes = control->proxy->n_nodes;
+  out->reaches_voters = tou_control_reaches_voters (control, now_us);
   out->n_reporting = 1 + tou_peers_count_reporting (control->peers, now_us);
   if (primary != NULL)
     out->n_observing = MIN (primary->n_gateways, out->n_reporting);
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -185,4 +185,7 @@
 /** Runs the changes of primary while this node is the leader. */
 void tou_control_run_groups (TouControl *control, guint64 now_us);
 
+/** TRUE if this node reaches those whose answers a change of primary needs. */
+gboolean tou_control_reaches_voters (const TouControl *control, guint64 now_us);
+
 G_END_DECLS
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -840,9 +840,8 @@
          > control->proxy->n_nodes;
 }
 
-/* TRUE if this node reaches those whose answers a change of primary needs. */
-static gboolean
-control_reaches_majority (const TouControl *control, guint64 now_us)
+gboolean
+tou_control_reaches_voters (const TouControl *control, guint64 now_us)
 {
   return control->proxy->panel.revision != 0
              ? tou_peers_reach_panel (control->peers, now_us)
@@ -859,7 +858,7 @@
   /* A leader in the panel receives the heartbeats of all nodes already. */
   if (proxy->panel.revision != 0 && !control_is_member (control))
     spread_us += CONTROL_ELECTION_OUTSIDE_US;
-  if (!control_reaches_majority (control, now_us))
+  if (!tou_control_reaches_voters (control, now_us))
     spread_us += CONTROL_ELECTION_MINORITY_US;
 
   /* Between watches, another node may have been elected. */
@@ -899,11 +898,13 @@
     control_yield_leadership (control, "lease expired");
 }
 
-/* A leader in a minority cannot change a primary, and keeps others from it. */
+/* A leader that does not reach the voters cannot change a primary, and keeps
+   others from it. With a panel, these may be on the smaller side of a network
+   partition. */
 static void
 control_check_majority (TouControl *control, guint64 now_us)
 {
-  if (control_hears_majority (control, now_us))
+  if (tou_control_reaches_voters (control, now_us))
     control->majority_us = now_us;
   if (!control->is_leader
       || now_us < MAX (control->majority_us, control->leader_since_us)
@@ -912,7 +913,7 @@
   plat_store_lease_revoke (control->store, control->lease, control_on_revoked,
                            control);
   control->lease = 0;
-  control_yield_leadership (control, "no heartbeats of a majority");
+  control_yield_leadership (control, "does not reach a majority of the voters");
 }
 
 static void
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -277,10 +277,9 @@
       handover->step_down_requested = FALSE;
       return;
     }
-  /* An announcement ends all writes. A leader in a minority could not complete
-     the change. */
-  if (reason == NULL || view->n_reporting * 2 <= view->n_nodes
-      || !handover_has_candidate (view))
+  /* An announcement ends all writes. A leader that does not reach the voters
+     could not complete the change. */
+  if (reason == NULL || !view->reaches_voters || !handover_has_candidate (view))
     return;
   record.moving = TRUE;
   record.candidate.len = 0;
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -45,11 +45,13 @@
   guint sync_replicas; /**< a commit is acknowledged once as many replicas have
                             received it; 0: at once */
   guint n_nodes;       /**< registered nodes, including this one */
-  guint n_reporting;   /**< nodes with a recent heartbeat, including this one */
-  guint n_observing;   /**< nodes with their own connections to the primary;
-                            0: all reporting nodes */
-  guint n_suspecting;  /**< observing nodes that suspect the primary */
-  guint n_quiesced;    /**< nodes that no longer use the old primary */
+  gboolean reaches_voters; /**< this node reaches a majority of the voters,
+                                without whose answers no change is completed */
+  guint n_reporting;  /**< nodes with a recent heartbeat, including this one */
+  guint n_observing;  /**< nodes with their own connections to the primary;
+                           0: all reporting nodes */
+  guint n_suspecting; /**< observing nodes that suspect the primary */
+  guint n_quiesced;   /**< nodes that no longer use the old primary */
   gboolean
       nodes_uncertain; /**< n_nodes may not include all nodes with proofs */
   /** A majority of the voters no longer proves an earlier record. */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -798,10 +798,13 @@
     }
   else if (arg_is (command, 0, "endpoint"))
     set_endpoint (script, command);
+  else if (arg_is (command, 0, "voters"))
+    view->reaches_voters = arg_is (command, 1, "reached");
   else if (arg_is (command, 0, "view"))
     {
       view->n_nodes = (guint)arg_number (command, 1);
       view->n_reporting = (guint)arg_number (command, 2);
+      view->reaches_voters = view->n_reporting * 2 > view->n_nodes;
       view->n_suspecting = (guint)arg_number (command, 3);
       view->n_quiesced = (guint)arg_number (command, 4);
       view->primary_draining = arg_is (command, 5, "draining");
