Share a rank of the queue among flows by start-time fair queueing

Within a rank, statements were dispatched in the order of their arrival, so a team that sends seven times its usual demand filled the queue and everyone waited behind its backlog, or was refused because the queue was full or the deadline could not be met.

An item now names its flow. Flows of equal weight share the dispatched work, the wait estimate counts only what is dispatched before the flow's new item, and a full rank evicts the newest item of the flow with the longest backlog.

--- a/src/core/gate-choose.c
+++ b/src/core/gate-choose.c
@@ -112,7 +112,7 @@
 static guint64
 choose_wait_us (const GateJob *job, const GateDb *db)
 {
-  guint64 wait_us = tou_queue_wait_us (db->queue, job->request.rank,
+  guint64 wait_us = tou_queue_wait_us (db->queue, job->request.rank, NULL,
                                        db->group->gate->ctx->now_us)
                     + db->in_flight;
 
--- a/src/core/gate-dispatch.c
+++ b/src/core/gate-dispatch.c
@@ -171,12 +171,15 @@
 dispatch_enqueue (GateJob *job, GateDb *db)
 {
   guint64 retry_after_us = 0;
+  TouQueueItem *evicted;
   int code;
 
   job->item.reserve_us = dispatch_reserve_us (job, db);
   job->item.probe = db->in_flight == 0 && tou_queue_length (db->queue) == 0;
   code = tou_queue_push (db->queue, &job->item, db->group->gate->ctx->now_us,
-                         &retry_after_us);
+                         &retry_after_us, &evicted);
+  if (evicted != NULL)
+    gate_refuse ((GateJob *)evicted, TOU_E_QUEUE_FULL, retry_after_us);
   if (code != TOU_OK)
     {
       gate_refuse (job, code, retry_after_us);
@@ -292,8 +295,9 @@
          occupy a slot. */
       if (!tou_queue_is_in_time (db->queue, item, now_us))
         {
-          gate_refuse (job, TOU_E_DEADLINE,
-                       tou_queue_wait_us (db->queue, item->rank, now_us));
+          gate_refuse (
+              job, TOU_E_DEADLINE,
+              tou_queue_wait_us (db->queue, item->rank, item->flow, now_us));
           continue;
         }
       conn = dispatch_is_valid (job, db) ? dispatch_conn (job, db) : NULL;
--- a/src/core/gate.c
+++ b/src/core/gate.c
@@ -292,7 +292,7 @@
 
       while ((item = tou_queue_pop_expired (queue, now_us)) != NULL)
         gate_refuse ((GateJob *)item, TOU_E_DEADLINE,
-                     tou_queue_wait_us (queue, item->rank, now_us));
+                     tou_queue_wait_us (queue, item->rank, item->flow, now_us));
     }
 }
 
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -196,6 +196,28 @@
   return TRUE;
 }
 
+/* Refuses a statement because of the queue's limits. */
+static void
+client_refuse_queued (TouClient *client, int status, guint64 retry_us)
+{
+  char reason[CLIENT_TEXT_MAX];
+
+  g_snprintf (reason, sizeof reason, "%s; retry after %" G_GUINT64_FORMAT " ms",
+              tou_status_text (status), retry_us / TOU_US_PER_MS);
+  client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
+}
+
+/* Refuses a statement that gave its place to one of another team. */
+static void
+client_evict (TouQueueItem *item, guint64 retry_us)
+{
+  TouClient *client = tou_client_of_item (item);
+
+  TOU_COUNT (client->proxy, EVICTED);
+  client_refuse_queued (client, TOU_E_QUEUE_FULL, retry_us);
+  client_parse (client);
+}
+
 /* Queues the statement for the primary or for any endpoint of the group. */
 static void
 client_enqueue (TouClient *client)
@@ -204,7 +226,7 @@
   TouClientRequest *request = &client->request;
   guint64 now_us = tou_clock_us ();
   guint64 retry_us = 0;
-  char reason[CLIENT_TEXT_MAX];
+  TouQueueItem *evicted;
   const char *refusal;
   int status;
 
@@ -222,12 +244,11 @@
   request->item.deadline_us = request->deadline_us;
   request->item.probe = client_is_probe (client, group);
   status = tou_queue_push (client_queue (client, group), &request->item, now_us,
-                           &retry_us);
-  if (status == TOU_OK)
-    return;
-  g_snprintf (reason, sizeof reason, "%s; retry after %" G_GUINT64_FORMAT " ms",
-              tou_status_text (status), retry_us / TOU_US_PER_MS);
-  client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
+                           &retry_us, &evicted);
+  if (status != TOU_OK)
+    client_refuse_queued (client, status, retry_us);
+  else if (evicted != NULL)
+    client_evict (evicted, retry_us);
 }
 
 void
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -41,6 +41,7 @@
   X (STATEMENTS, "statements_total", "statements taken from callers")          \
   X (SERVED, "served_total", "statements answered with a database's proof")    \
   X (REFUSED, "refused_total", "statements refused, not run")                  \
+  X (EVICTED, "evicted_total", "queued statements refused for other teams")    \
   X (IN_DOUBT, "in_doubt_total", "statements whose outcome is unknown")        \
   X (RETRIED, "retried_total", "statements moved to another database")         \
   X (REPLICA, "replica_total", "statements run on a replica")                  \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -30,6 +30,8 @@
 /* Keyword and maximum length of the line with a statement's rank. */
 #define RELAY_RANK_KEYWORD "RANK"
 #define RELAY_RANK_MAX 40
+/* Maximum length of the reason for a refusal, in bytes. */
+#define RELAY_REASON_MAX 80
 /* Line that reports a statement in progress. */
 #define RELAY_PROGRESS_LINE "WAIT"
 /* Line that says that the gateway's process will end; sent between statements.
@@ -64,6 +66,12 @@
 
 static void relay_parse (TouRelay *relay);
 
+static TouRelay *
+relay_of_item (TouQueueItem *item)
+{
+  return TOU_CONTAINER_OF (item, TouRelay, item);
+}
+
 static void
 relay_send (TouRelay *relay, GString *message)
 {
@@ -180,19 +188,44 @@
     }
 }
 
+/* Refuses a statement because of the queue's limits. */
+static void
+relay_refuse_queued (TouRelay *relay, guint64 retry_us)
+{
+  char reason[RELAY_REASON_MAX];
+
+  g_snprintf (reason, sizeof reason,
+              "queue is too long; retry after %" G_GUINT64_FORMAT " ms",
+              retry_us / TOU_US_PER_MS);
+  relay_refuse (relay, reason);
+}
+
+/* Refuses a statement that gave its place to one of another team. */
+static void
+relay_evict (TouRelay *relay, guint64 retry_us)
+{
+  TOU_COUNT (relay->proxy, EVICTED);
+  relay_refuse_queued (relay, retry_us);
+  relay_parse (relay);
+}
+
 /* Queues the statement until a link is idle and the endpoint has room. */
 static void
 relay_enqueue (TouRelay *relay)
 {
   TouEndpoint *endpoint = relay->endpoint;
   guint64 retry_us = 0;
+  TouQueueItem *evicted;
+  int status;
 
   relay->item.probe
       = endpoint->n_busy == 0 && tou_queue_length (endpoint->relay_queue) == 0;
-  if (tou_queue_push (endpoint->relay_queue, &relay->item, tou_clock_us (),
-                      &retry_us)
-      != TOU_OK)
-    relay_refuse (relay, "queue is too long");
+  status = tou_queue_push (endpoint->relay_queue, &relay->item, tou_clock_us (),
+                           &retry_us, &evicted);
+  if (status != TOU_OK)
+    relay_refuse_queued (relay, retry_us);
+  else if (evicted != NULL)
+    relay_evict (relay_of_item (evicted), retry_us);
 }
 
 static void
@@ -252,12 +285,6 @@
   tou_link_run (link, &relay->task);
 }
 
-static TouRelay *
-relay_of_item (TouQueueItem *item)
-{
-  return TOU_CONTAINER_OF (item, TouRelay, item);
-}
-
 void
 tou_relay_dispatch (TouEndpoint *endpoint, guint64 now_us)
 {
--- a/tests/test-queue.c
+++ b/tests/test-queue.c
@@ -13,6 +13,9 @@
 
 #define ITEMS_PER_RANK 1000
 
+/* Set by the last push. */
+static TouQueueItem *evicted;
+
 static const guint floors[TOU_RANK_COUNT] = { 0, 15, 5 };
 
 static TouQueue *
@@ -32,7 +35,7 @@
   memset (item, 0, sizeof *item);
   item->rank = rank;
   item->deadline_us = deadline_us;
-  return tou_queue_push (queue, item, 0, retry_after_us);
+  return tou_queue_push (queue, item, 0, retry_after_us, &evicted);
 }
 
 /* Without credit, a flood of urgent requests starves the other ranks; with too
@@ -124,10 +127,11 @@
   (void)state;
   for (guint i = 0; i < 100; i++)
     tou_queue_record_cost (queue, TOU_RANK_URGENT, TOU_US_PER_S, 0);
-  assert_int_equal (tou_queue_push (queue, &items[0], 0, &retry_us),
+  assert_int_equal (tou_queue_push (queue, &items[0], 0, &retry_us, &evicted),
                     TOU_E_DEADLINE);
   items[1].probe = TRUE;
-  assert_int_equal (tou_queue_push (queue, &items[1], 0, &retry_us), TOU_OK);
+  assert_int_equal (tou_queue_push (queue, &items[1], 0, &retry_us, &evicted),
+                    TOU_OK);
   assert_true (tou_queue_is_in_time (queue, &items[1], 1000));
   assert_ptr_equal (tou_queue_pop (queue, TRUE), &items[1]);
   tou_queue_destroy (queue);
@@ -147,11 +151,12 @@
     tou_queue_record_cost (queue, TOU_RANK_URGENT, 3 * TOU_US_PER_S, 0);
   item.deadline_us = TOU_US_PER_S;
   assert_int_equal (
-      tou_queue_push (queue, &item, 200 * TOU_US_PER_MS, &retry_us),
+      tou_queue_push (queue, &item, 200 * TOU_US_PER_MS, &retry_us, &evicted),
       TOU_E_DEADLINE);
   item.deadline_us = 6 * TOU_US_PER_S;
-  assert_int_equal (tou_queue_push (queue, &item, 5 * TOU_US_PER_S, &retry_us),
-                    TOU_OK);
+  assert_int_equal (
+      tou_queue_push (queue, &item, 5 * TOU_US_PER_S, &retry_us, &evicted),
+      TOU_OK);
   assert_ptr_equal (tou_queue_pop (queue, TRUE), &item);
   tou_queue_destroy (queue);
 }
@@ -169,7 +174,8 @@
   (void)state;
   queue_add (queue, &plain, TOU_RANK_URGENT, G_MAXUINT64, &retry_us);
   assert_null (tou_queue_pop (queue, FALSE));
-  assert_int_equal (tou_queue_push (queue, &pinned, 0, &retry_us), TOU_OK);
+  assert_int_equal (tou_queue_push (queue, &pinned, 0, &retry_us, &evicted),
+                    TOU_OK);
   assert_ptr_equal (tou_queue_pop (queue, FALSE), &pinned);
   assert_ptr_equal (tou_queue_pop (queue, TRUE), &plain);
   tou_queue_destroy (queue);
