Identify teams by their API keys, and give each its own connections

Cause: no code knew a team or a key. Any client could run statements, and databases were told the node's name in place of the team's.

Change: src/access decides in one function whether a session may run an operation, and for which team. It is asked when a session starts and at the start of each operation, so a withdrawn key ends with the next configuration; idle sessions with it are closed. A connection to a database belongs to a team, because a database identifies it when the connection is opened. At the limit, the longest idle connection of another team is closed. A gateway learns the team of a statement from its RANK line. Queues share a rank by team.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -1,5 +1,6 @@
 #include "client.h"
 
+#include "access.h"
 #include "dispatch.h"
 #include "stream.h"
 #include "values.h"
@@ -241,6 +242,7 @@
     }
   memset (&request->item, 0, sizeof request->item);
   request->item.rank = client->route.rank;
+  request->item.flow = request->task.team;
   request->item.deadline_us = request->deadline_us;
   request->item.probe = client_is_probe (client, group);
   status = tou_queue_push (client_queue (client, group), &request->item, now_us,
@@ -502,10 +504,11 @@
   client_run (client, tou_endpoint_idle_link (endpoint, &client->request.task));
 }
 
-/* Copies the current route of the database; an open transaction keeps the route
-   that it began with. @return FALSE if there is none */
+/* Copies the current route of the database and identifies the team; an open
+   transaction keeps those that it began with. @return TRUE if the session may
+   run operations; otherwise @a error and @a reason say why not */
 static gboolean
-client_lookup_route (TouClient *client)
+client_authorize (TouClient *client, TouSqlError *error, const char **reason)
 {
   const TouRouting *routing = client->proxy->routing;
   const TouRoute *route
@@ -514,9 +517,18 @@
             : NULL;
 
   if (route == NULL)
-    return FALSE;
+    {
+      *error = TOU_SQL_E_UNKNOWN_DATABASE;
+      *reason = "no such database";
+      return FALSE;
+    }
   client->route = *route;
-  return TRUE;
+  if (tou_access_check (routing, route, client->key, &client->team) == TOU_OK)
+    return TRUE;
+  TOU_COUNT (client->proxy, UNAUTHORIZED);
+  *error = TOU_SQL_E_UNAUTHORIZED;
+  *reason = "no team has this key";
+  return FALSE;
 }
 
 /* Runs the next statement of a transaction on its pinned link. */
@@ -544,11 +556,14 @@
 {
   TouClientRequest *request = &client->request;
   gboolean in_txn = client->state == TOU_SQL_STATE_OPEN;
+  TouSqlError error;
+  const char *reason;
 
-  if (client->link == NULL && !client_lookup_route (client))
+  if (client->link == NULL && !client_authorize (client, &error, &reason))
     {
-      client_fail (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database",
-                   NULL);
+      client_fail (client, error, reason, NULL);
+      if (error == TOU_SQL_E_UNAUTHORIZED)
+        tou_client_close (client);
       return;
     }
   request->attempts = 0;
@@ -562,6 +577,8 @@
   memset (&request->task, 0, sizeof request->task);
   request->task.done = client_on_result;
   request->task.id = &client->id;
+  if (client->team.len > 0)
+    request->task.team = &client->team;
   request->task.text.data = client->id.data + client->id.len + 1;
   request->task.text.len = client->text->len - client->id.len - 1;
   request->task.prepared = prepared;
@@ -744,16 +761,36 @@
   tou_client_close (client);
 }
 
-/* Accepts the session if its database has a route. */
+/* Closes an idle session whose key a new configuration no longer has. */
+static void
+client_check_key (TouClient *client)
+{
+  const TouRouting *routing = client->proxy->routing;
+  TouSqlError error = TOU_SQL_E_OTHER;
+  const char *reason;
+
+  if (routing == NULL || routing->teams == NULL || !client->started
+      || client->state != TOU_SQL_STATE_IDLE
+      || client->checked_version == routing->version)
+    return;
+  client->checked_version = routing->version;
+  if (!client_authorize (client, &error, &reason)
+      && error == TOU_SQL_E_UNAUTHORIZED)
+    tou_client_close (client);
+}
+
+/* Accepts the session if it may run operations. */
 static void
 client_admit (TouClient *client)
 {
+  TouSqlError error;
+  const char *reason;
   GString *out;
 
   client->config_wait_since_us = 0;
-  if (!client_lookup_route (client))
+  if (!client_authorize (client, &error, &reason))
     {
-      client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
+      client_reject (client, error, reason);
       return;
     }
   client->started = TRUE;
@@ -772,10 +809,16 @@
                          message->database.len)
            != TOU_OK)
     client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
-  else if (client->proxy->routing != NULL)
-    client_admit (client);
   else
-    client->config_wait_since_us = tou_clock_us ();
+    {
+      /* A longer one is no team's key. */
+      if (message->user.len > 0 && message->user.len <= TOU_KEY_MAX)
+        client->key = g_strndup (message->user.data, message->user.len);
+      if (client->proxy->routing != NULL)
+        client_admit (client);
+      else
+        client->config_wait_since_us = tou_clock_us ();
+    }
 }
 
 /* After a restart the configuration arrives shortly, unless the store is down.
@@ -852,6 +895,7 @@
   g_hash_table_destroy (client->prepared);
   g_string_free (client->in, TRUE);
   g_string_free (client->text, TRUE);
+  g_free (client->key);
   g_free (client);
 }
 
@@ -930,6 +974,9 @@
       client_tick_config_wait (client, now_us);
       return;
     }
+  client_check_key (client);
+  if (client->closing)
+    return;
   if (client->link != NULL
       && (now_us - client->idle_since_us >= idle_us
           || (proxy->draining && now_us >= proxy->end_txns_us)))
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -35,6 +35,9 @@
   gboolean started;             /**< the first message was accepted */
   guint64 config_wait_since_us; /**< of the first message; 0: none */
   TouName database;
+  char *key;               /**< API key, or NULL */
+  TouName team;            /**< of the running operation; may be empty */
+  guint64 checked_version; /**< configuration that the key was checked with */
   TouSqlValues values;
   GHashTable *prepared; /**< statement name to TouPrepared */
   TouSqlState state;
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -79,7 +79,9 @@
           out->best = endpoint;
         }
       if (cost_us < best_idle_cost_us
-          && tou_endpoint_idle_link (endpoint, NULL) != NULL)
+          && tou_endpoint_idle_link (endpoint,
+                                     request != NULL ? &request->task : NULL)
+                 != NULL)
         {
           best_idle_cost_us = cost_us;
           out->best_idle = endpoint;
@@ -87,31 +89,40 @@
     }
 }
 
-/* Removes the next statement; with @a urgent, the next urgent one, because the
-   window is full for others. */
-static TouQueueItem *
-dispatch_pop (TouQueue *queue, gboolean urgent)
+/* TRUE if an idle link of @a endpoint serves @a team. */
+static gboolean
+dispatch_has_link (const TouEndpoint *endpoint, const TouName *team)
+{
+  TouTask task = { .team = team };
+
+  return tou_endpoint_idle_link (endpoint, &task) != NULL;
+}
+
+static TouQueueVerdict
+dispatch_judge_endpoint (const TouQueueItem *item, gpointer data)
 {
-  return urgent ? tou_queue_pop_rank (queue, TOU_RANK_URGENT)
-                : tou_queue_pop (queue, TRUE);
+  return dispatch_has_link (data, item->flow) ? TOU_QUEUE_RUNNABLE
+                                              : TOU_QUEUE_NO_CONNECTION;
 }
 
 TouQueueItem *
 tou_dispatch_next (TouQueue *queue, TouEndpoint *endpoint, guint64 now_us)
 {
-  gboolean urgent;
+  TouQueueSelection selection = { .now_us = now_us,
+                                  .judge = dispatch_judge_endpoint,
+                                  .data = endpoint };
+  TouQueueItem *item;
 
   if (tou_queue_length (queue) == 0)
     return NULL;
-  urgent = !tou_endpoint_has_room (endpoint, FALSE, now_us);
-  if (urgent && !tou_endpoint_has_room (endpoint, TRUE, now_us))
+  /* The window is full for less urgent statements. */
+  selection.urgent_only = !tou_endpoint_has_room (endpoint, FALSE, now_us);
+  if (selection.urgent_only && !tou_endpoint_has_room (endpoint, TRUE, now_us))
     return NULL;
-  if (tou_endpoint_idle_link (endpoint, NULL) == NULL)
-    {
-      tou_endpoint_request_link (endpoint, now_us);
-      return NULL;
-    }
-  return dispatch_pop (queue, urgent);
+  item = tou_queue_pop_matching (queue, &selection);
+  if (selection.blocked != NULL)
+    tou_endpoint_request_link (endpoint, selection.blocked->flow, now_us);
+  return item;
 }
 
 static void
@@ -126,6 +137,57 @@
     tou_client_start_request (tou_client_of_item (item), primary);
 }
 
+typedef struct
+{
+  const TouGroup *group;
+  gboolean urgent;
+  guint64 now_us;
+} DispatchReads;
+
+/* The conditions of the statement itself are checked when it is popped. */
+static TouQueueVerdict
+dispatch_judge_group (const TouQueueItem *item, gpointer data)
+{
+  const DispatchReads *reads = data;
+
+  for (guint i = 0; i < reads->group->endpoints->len; i++)
+    {
+      const TouEndpoint *endpoint
+          = g_ptr_array_index (reads->group->endpoints, i);
+
+      if (tou_endpoint_is_usable (endpoint)
+          && tou_endpoint_has_room (endpoint, reads->urgent, reads->now_us)
+          && dispatch_has_link (endpoint, item->flow))
+        return TOU_QUEUE_RUNNABLE;
+    }
+  return TOU_QUEUE_NO_CONNECTION;
+}
+
+/* TRUE if connections to databases belong to teams. */
+static gboolean
+dispatch_by_team (const TouGroup *group)
+{
+  const TouRouting *routing = group->proxy->routing;
+
+  return routing != NULL && routing->teams != NULL;
+}
+
+static TouQueueItem *
+dispatch_pop_read (TouGroup *group, TouEndpoint *best, gboolean urgent,
+                   guint64 now_us)
+{
+  DispatchReads reads = { group, urgent, now_us };
+  TouQueueSelection selection = { .now_us = now_us,
+                                  .urgent_only = urgent,
+                                  .judge = dispatch_judge_group,
+                                  .data = &reads };
+  TouQueueItem *item = tou_queue_pop_matching (group->reads, &selection);
+
+  if (selection.blocked != NULL && best != NULL && dispatch_by_team (group))
+    tou_endpoint_request_link (best, selection.blocked->flow, now_us);
+  return item;
+}
+
 static void
 dispatch_reads (TouGroup *group, guint64 now_us)
 {
@@ -145,16 +207,18 @@
           urgent = TRUE;
           dispatch_choose (group, NULL, primary, TRUE, now_us, &choice);
         }
-      if (choice.best != NULL && choice.best != choice.best_idle)
-        tou_endpoint_request_link (choice.best, now_us);
-      if (choice.best_idle == NULL)
-        break;
-      item = dispatch_pop (group->reads, urgent);
+      if (choice.best != NULL && choice.best != choice.best_idle
+          && !dispatch_by_team (group))
+        tou_endpoint_request_link (choice.best, NULL, now_us);
+      item = dispatch_pop_read (group, choice.best, urgent, now_us);
       if (item == NULL)
         break;
       client = tou_client_of_item (item);
       dispatch_choose (group, &client->request, primary, urgent, now_us,
                        &choice);
+      if (choice.best != NULL && choice.best != choice.best_idle
+          && dispatch_by_team (group))
+        tou_endpoint_request_link (choice.best, item->flow, now_us);
       if (choice.best_idle != NULL)
         {
           tou_client_start_request (client, choice.best_idle);
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -197,24 +197,52 @@
   return MAX (limit / 2, 2);
 }
 
+/* Closes the link of another team that has been idle longest. */
+static gboolean
+endpoint_evict_link (TouEndpoint *endpoint, const TouName *team)
+{
+  TouLink *oldest = NULL;
+
+  for (guint i = 0; i < endpoint->links->len; i++)
+    {
+      TouLink *link = g_ptr_array_index (endpoint->links, i);
+
+      if (tou_link_is_idle (link) && !tou_link_serves (link, team)
+          && (oldest == NULL || link->since_us < oldest->since_us))
+        oldest = link;
+    }
+  if (oldest == NULL)
+    return FALSE;
+  TOU_COUNT (endpoint->proxy, LINKS_EVICTED);
+  tou_link_close (oldest, NULL);
+  return TRUE;
+}
+
 void
-tou_endpoint_request_link (TouEndpoint *endpoint, guint64 now_us)
+tou_endpoint_request_link (TouEndpoint *endpoint, const TouName *team,
+                           guint64 now_us)
 {
   guint n_opening = 0;
 
   if (now_us
           < MAX (endpoint->open_after_us, endpoint->proxy->link_hold_until_us)
-      || endpoint->removed
-      || endpoint->links->len >= tou_endpoint_link_limit (endpoint))
+      || endpoint->removed)
     return;
   for (guint i = 0; i < endpoint->links->len; i++)
     {
       const TouLink *link = g_ptr_array_index (endpoint->links, i);
 
-      n_opening += link->state != LINK_READY;
+      if (link->state == LINK_READY)
+        continue;
+      /* One new link may serve several waiting statements of the team. */
+      if (team != NULL && tou_link_serves (link, team))
+        return;
+      n_opening++;
     }
-  if (n_opening < LINK_MAX_OPENING)
-    tou_link_open (endpoint, now_us);
+  if (n_opening < LINK_MAX_OPENING
+      && (endpoint->links->len < tou_endpoint_link_limit (endpoint)
+          || endpoint_evict_link (endpoint, team)))
+    tou_link_open (endpoint, team, now_us);
 }
 
 TouLink *
@@ -228,7 +256,8 @@
       TouLink *link = g_ptr_array_index (endpoint->links, i);
       guint score;
 
-      if (!tou_link_is_idle (link))
+      if (!tou_link_is_idle (link)
+          || (task != NULL && !tou_link_serves (link, task->team)))
         continue;
       score = tou_link_score (link, task);
       if (best != NULL && score <= best_score)
@@ -369,10 +398,10 @@
                                          : ENDPOINT_RETRY_US);
       if (!endpoint->removed
           && endpoint->links->len < tou_endpoint_link_limit (endpoint))
-        tou_link_open (endpoint, now_us);
+        tou_link_open (endpoint, NULL, now_us);
     }
   else if (endpoint->links->len == 0)
-    tou_endpoint_request_link (endpoint, now_us);
+    tou_endpoint_request_link (endpoint, NULL, now_us);
 }
 
 static void
@@ -409,7 +438,7 @@
   if (endpoint->probing || link == NULL)
     {
       if (link == NULL)
-        tou_endpoint_request_link (endpoint, now_us);
+        tou_endpoint_request_link (endpoint, NULL, now_us);
       g_string_free (message, TRUE);
       return;
     }
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -42,6 +42,7 @@
   TouTask *task;
   TouPin *pin;          /* the link's reservation, or NULL */
   TouName gateway_node; /* gateway of the link; empty: direct connection */
+  TouName team;         /* of a direct connection; empty: none */
   TouSqlValues values;
   GHashTable *prepared; /* set of link_name */
   GString *in;
@@ -53,8 +54,8 @@
   TouSqlError error;
 };
 
-/** Opens a link and adds it to the endpoint's links. */
-void tou_link_open (TouEndpoint *endpoint, guint64 now_us);
+/** Opens a link for @a team (NULL: none) and adds it to the endpoint's. */
+void tou_link_open (TouEndpoint *endpoint, const TouName *team, guint64 now_us);
 
 /**
  * TRUE if its gateway has neither answered a statement nor reported it in
@@ -68,6 +69,9 @@
  */
 gboolean tou_link_may_move (const TouLink *link);
 
+/** TRUE if tasks of @a team (NULL: none) may run on the link. */
+gboolean tou_link_serves (const TouLink *link, const TouName *team);
+
 /** TRUE if the link can run a task. */
 gboolean tou_link_is_idle (const TouLink *link);
 
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -223,7 +223,7 @@
   if (task->prepared != NULL)
     link_put_prepare (link, task->prepared, out);
   if (link->gateway_node.len > 0 && !link->in_txn)
-    tou_relay_put_rank (out, task->rank, task->deadline_us);
+    tou_relay_put_rank (out, task->rank, task->deadline_us, task->team);
   if (task->begin && !link->in_txn)
     {
       TOU_COUNT (link->endpoint->proxy, BEGINS);
@@ -484,13 +484,15 @@
   link->state = LINK_STARTING;
   out = g_string_new (NULL);
   plat_wire_put_startup (out, &link->endpoint->info,
-                         link->endpoint->proxy->settings.node.data);
+                         link->team.len > 0
+                             ? link->team.data
+                             : link->endpoint->proxy->settings.node.data);
   link_send (link, out);
   uv_read_start ((uv_stream_t *)&link->tcp, tou_stream_alloc, link_on_read);
 }
 
 void
-tou_link_open (TouEndpoint *endpoint, guint64 now_us)
+tou_link_open (TouEndpoint *endpoint, const TouName *team, guint64 now_us)
 {
   struct sockaddr_in address = endpoint->gateway_address;
   TouLink *link;
@@ -509,6 +511,8 @@
   link->since_us = now_us;
   link->initial_pos = endpoint->newest_pos;
   link->gateway_node = endpoint->gateway;
+  if (team != NULL && endpoint->gateway.len == 0)
+    link->team = *team;
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -532,6 +536,15 @@
     }
 }
 
+gboolean
+tou_link_serves (const TouLink *link, const TouName *team)
+{
+  if (link->gateway_node.len > 0)
+    return TRUE;
+  return team != NULL ? tou_name_equal (&link->team, team)
+                      : link->team.len == 0;
+}
+
 gboolean
 tou_link_is_idle (const TouLink *link)
 {
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -53,6 +53,7 @@
   const TouPrepared *prepared;
   TouSlice arguments;  /**< of the prepared statement */
   gboolean may_commit; /**< a write outside a transaction, or a commit */
+  const TouName *team; /**< whose connections may run it; NULL: those of none */
   TouRank rank;
   guint64 deadline_us;
   guint64 sent_us;  /**< set by the link; 0: not sent */
@@ -146,12 +147,20 @@
 /** Number of transactions and writes of this node's clients on its links. */
 guint tou_endpoint_writes_in_flight (const TouEndpoint *endpoint);
 
-/** Returns the best idle link for @a task (NULL: any task), or NULL. */
+/**
+ * Returns the best idle link for @a task (NULL: any task), or NULL. A direct
+ * connection runs tasks of its own team only, because a database identifies the
+ * team when the connection is opened.
+ */
 TouLink *tou_endpoint_idle_link (const TouEndpoint *endpoint,
                                  const TouTask *task);
 
-/** Opens a link unless a limit, a pause or links being opened prevent it. */
-void tou_endpoint_request_link (TouEndpoint *endpoint, guint64 now_us);
+/**
+ * Opens a link for @a team (NULL: none) unless a limit, a pause or links being
+ * opened prevent it. At the limit, an idle link of another team is closed.
+ */
+void tou_endpoint_request_link (TouEndpoint *endpoint, const TouName *team,
+                                guint64 now_us);
 
 /** Closes timed-out and idle links and detects an unreachable endpoint. */
 void tou_endpoint_tick (TouEndpoint *endpoint, guint64 now_us);
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -48,6 +48,8 @@
   X (PRIMARY, "primary_total", "statements run on a primary")                  \
   X (LAGGING, "lagging_total", "replicas that lacked the needed position")     \
   X (LINKS, "links_opened_total", "database connections opened")               \
+  X (LINKS_EVICTED, "links_evicted_total", "connections closed for a team")    \
+  X (UNAUTHORIZED, "unauthorized_total", "operations without a valid key")     \
   X (LINKS_REFUSED, "links_refused_total", "database connections refused")     \
   X (RESETS, "link_resets_total", "links whose session values were cleared")   \
   X (SETS, "link_sets_total", "session values set on links")                   \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -29,7 +29,7 @@
 
 /* Keyword and maximum length of the line with a statement's rank. */
 #define RELAY_RANK_KEYWORD "RANK"
-#define RELAY_RANK_MAX 40
+#define RELAY_RANK_MAX (40 + TOU_NAME_MAX)
 /* Maximum length of the reason for a refusal, in bytes. */
 #define RELAY_REASON_MAX 80
 /* Line that reports a statement in progress. */
@@ -55,6 +55,7 @@
   gboolean told_stopping;   /* RELAY_STOPPING_LINE was sent */
   guint64 last_activity_us; /* last statement received or answered */
   guint64 progress_us;      /* when the other node last received something */
+  TouName team;             /* of the next or running statement; may be empty */
   TouSqlValues values;
   GHashTable *prepared;
   TouLink *link; /* pinned by the open transaction */
@@ -218,6 +219,7 @@
   TouQueueItem *evicted;
   int status;
 
+  relay->item.flow = relay->task.team;
   relay->item.probe
       = endpoint->n_busy == 0 && tou_queue_length (endpoint->relay_queue) == 0;
   status = tou_queue_push (endpoint->relay_queue, &relay->item, tou_clock_us (),
@@ -436,6 +438,8 @@
   task->text = text;
   task->after = after;
   task->values = &relay->values;
+  if (relay->team.len > 0)
+    task->team = &relay->team;
   if (!plat_wire_is_internal (relay->id))
     task->id = &relay->id;
   if (statement->kind == TOU_SQL_EXECUTE)
@@ -566,22 +570,24 @@
 }
 
 /* Parses the RANK line that other nodes send before a statement, an extension
-   of the databases' protocol: the statement's rank, and the ms until its
-   deadline. @return FALSE if it is another line */
+   of the databases' protocol: the statement's rank, the ms until its deadline,
+   and its team, if it has one. @return FALSE if it is another line */
 static gboolean
 relay_parse_rank (TouRelay *relay, TouSlice line)
 {
   char text[RELAY_RANK_MAX + 1] = "";
   unsigned int rank;
   guint64 left_ms;
+  int team_at = 0;
 
   if (line.len > RELAY_RANK_MAX)
     return FALSE;
   memcpy (text, line.data, line.len);
-  if (sscanf (text, RELAY_RANK_KEYWORD " %u %" G_GUINT64_FORMAT, &rank,
-              &left_ms)
+  if (sscanf (text, RELAY_RANK_KEYWORD " %u %" G_GUINT64_FORMAT " %n", &rank,
+              &left_ms, &team_at)
           != 2
-      || rank >= TOU_RANK_COUNT)
+      || rank >= TOU_RANK_COUNT
+      || tou_name_set_c (&relay->team, text + team_at) != TOU_OK)
     return FALSE;
   relay->item.rank = (TouRank)rank;
   relay->item.deadline_us
@@ -591,13 +597,15 @@
 }
 
 void
-tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us)
+tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us,
+                    const TouName *team)
 {
   guint64 now_us = tou_clock_us ();
 
   g_string_append_printf (
-      out, RELAY_RANK_KEYWORD " %u %" G_GUINT64_FORMAT "\r\n", (guint)rank,
-      (deadline_us - MIN (now_us, deadline_us)) / TOU_US_PER_MS);
+      out, RELAY_RANK_KEYWORD " %u %" G_GUINT64_FORMAT "%s%s\r\n", (guint)rank,
+      (deadline_us - MIN (now_us, deadline_us)) / TOU_US_PER_MS,
+      team != NULL ? " " : "", team != NULL ? team->data : "");
 }
 
 static void
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -19,8 +19,12 @@
 
 typedef struct TouRelay TouRelay;
 
-/** Appends the RANK line: rank and remaining time of the next statement. */
-void tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us);
+/**
+ * Appends the RANK line: rank and remaining time of the next statement, and its
+ * team (NULL: none).
+ */
+void tou_relay_put_rank (GString *out, TouRank rank, guint64 deadline_us,
+                         const TouName *team);
 
 /** Starts to accept sessions of other nodes on the address for peers. */
 int tou_relay_listen (TouProxy *proxy);
--- a/src/session/sql.c
+++ b/src/session/sql.c
@@ -16,9 +16,22 @@
     return;
   g_hash_table_destroy (routing->routes);
   g_hash_table_destroy (routing->groups);
+  if (routing->teams != NULL)
+    {
+      g_hash_table_destroy (routing->keys);
+      g_hash_table_destroy (routing->teams);
+    }
   g_free (routing);
 }
 
+void
+tou_routing_enable_teams (TouRouting *routing)
+{
+  routing->teams = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                          NULL, g_free);
+  routing->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
 void
 tou_sql_copy_query (GString *buffer, const TouSqlClientMessage *message,
                     TouSlice *id, TouSlice *text)
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -149,8 +149,17 @@
   guint64 max_age_us; /**< 0: no bound */
   guint64 timeout_us; /**< of one statement */
   guint64 target_us;  /**< latency objective of an operation */
+  gboolean anonymous; /**< sessions need no API key */
 } TouRoute;
 
+/** A team of clients. */
+typedef struct
+{
+  TouName name;
+  double rate_per_s; /**< operations per second, on all nodes; 0: no limit */
+  double burst;      /**< operations beyond the rate */
+} TouTeam;
+
 /** Limits of a database group. */
 typedef struct
 {
@@ -165,6 +174,8 @@
   guint64 version;
   GHashTable *routes; /**< database name to TouRoute */
   GHashTable *groups; /**< group name to TouGroupLimits */
+  GHashTable *teams;  /**< name to TouTeam; NULL: clients need no key */
+  GHashTable *keys;   /**< API key to TouTeam, borrowed from teams */
   guint64 txn_idle_us;
 } TouRouting;
 
@@ -176,6 +187,8 @@
                          TouSlice *id, TouSlice *text);
 
 void tou_routing_destroy (TouRouting *routing);
+/** Makes clients need the key of a team; at first there is none. */
+void tou_routing_enable_teams (TouRouting *routing);
 
 /** Registration of a database, from its record. */
 typedef struct
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -36,6 +36,7 @@
   gboolean in_txn;
   gboolean wrote;
   GHashTable *prepared; /* name to "ACCESS shape" */
+  char *user;           /* who connected */
   TouSqlValues values;
 } Connection;
 
@@ -47,6 +48,7 @@
   g_string_free (connection->in, TRUE);
   g_hash_table_destroy (connection->prepared);
   tou_values_clear (&connection->values);
+  g_free (connection->user);
   g_free (connection);
 }
 
@@ -274,6 +276,18 @@
   g_string_free (out, TRUE);
 }
 
+/* Names of teams begin with "team", those of nodes do not. */
+static const char *
+team_mark (const Connection *connection)
+{
+  static char mark[TOU_NAME_MAX + 2];
+
+  if (!g_str_has_prefix (connection->user, "team"))
+    return "";
+  g_snprintf (mark, sizeof mark, " %s", connection->user);
+  return mark;
+}
+
 static void
 on_line (Connection *connection, TouSlice line)
 {
@@ -283,9 +297,12 @@
 
   if (!connection->started)
     {
+      TouSlice user = first_word (skip_word (rest));
+
       connection->started = TRUE;
       out = g_string_new (NULL);
       /* STARTUP group user id */
+      connection->user = g_strndup (user.data, user.len);
       if (tou_slice_is (skip_word (skip_word (rest)), database->id))
         put_ready (connection, out);
       else
@@ -296,8 +313,8 @@
     }
   /* Status queries are omitted, because their times vary. */
   if (!starts_with (skip_word (rest), PLAT_WIRE_STATUS_TEXT))
-    g_string_append_printf (database->trace, "%s> %.*s\n", database->id,
-                            (int)line.len, line.data);
+    g_string_append_printf (database->trace, "%s%s> %.*s\n", database->id,
+                            team_mark (connection), (int)line.len, line.data);
   on_query (connection, first_word (rest), skip_word (rest));
 }
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -2,6 +2,7 @@
 
 #include "line-database.h"
 
+#include "access.h"
 #include "link.h"
 #include "relay.h"
 #include "stream.h"
@@ -12,6 +13,7 @@
 
 #define MAX_WORDS 8
 #define MAX_DESCRIPTORS 1000
+#define CONNECTION_LIMIT 20
 /* Maximum duration of a wait, longer than the statement timeout. */
 #define WAIT_US (20 * TOU_US_PER_S)
 #define TIMEOUT_US (10 * TOU_US_PER_S)
@@ -34,11 +36,14 @@
   GHashTable *databases; /* id to LineDatabase */
   GHashTable *clients;   /* name to Client */
   TouRouting *routing;   /* next version of the configuration */
+  GHashTable *keys;      /* API key to the name of its team */
+  gboolean has_teams;    /* clients need a key, even if no team has one */
   TouGroup *group;
   guint64 next_id;
   gboolean proofs_paused;  /* no proofs of the record are added */
   TouProxy *gateway_proxy; /* node that is the gateway, or NULL */
   gboolean gateway_silent; /* it reports no progress */
+  guint connection_limit;  /* of each database */
   GString *out;
 } Script;
 
@@ -147,7 +152,8 @@
   Client *client = g_new0 (Client, 1);
   struct sockaddr_in address;
   int len = sizeof address;
-  char *text = g_strdup_printf ("STARTUP %s tester\r\n", words[2]);
+  char *text = g_strdup_printf ("STARTUP %s %s\r\n", words[2],
+                                words[3] != NULL ? words[3] : "tester");
 
   client->name = g_strdup (words[1]);
   client->in = g_string_new (NULL);
@@ -294,6 +300,26 @@
     g_string_append_printf (script->out, "%" G_GUINT64_FORMAT "\n", count);
 }
 
+static void
+add_teams (Script *script, TouRouting *routing)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer name;
+
+  if (script->has_teams)
+    tou_routing_enable_teams (routing);
+  g_hash_table_iter_init (&iter, script->keys);
+  while (g_hash_table_iter_next (&iter, &key, &name))
+    {
+      TouTeam team = { .name = tou_name (name) };
+
+      if (!g_hash_table_contains (routing->teams, &team.name))
+        tou_access_add_team (routing, &team);
+      tou_access_add_key (routing, &team.name, key, strlen (key));
+    }
+}
+
 static void
 run_route (Script *script, char **words)
 {
@@ -311,8 +337,9 @@
                                            NULL, g_free);
   routing->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                            NULL, g_free);
+  add_teams (script, routing);
   limits->name = tou_name ("g");
-  limits->connection_limit = 20;
+  limits->connection_limit = script->connection_limit;
   g_hash_table_insert (routing->groups, &limits->name, limits);
   if (script->proxy->routing != NULL)
     {
@@ -330,6 +357,7 @@
                 : strcmp (words[2], "bounded") == 0 ? TOU_READ_MAX_AGE
                                                     : TOU_READ_SESSION;
   route->max_age_us = WAIT_US;
+  route->anonymous = words[3] != NULL && strcmp (words[3], "anonymous") == 0;
   route->timeout_us = route->target_us = TIMEOUT_US;
   g_hash_table_replace (routing->routes, &route->database, route);
   tou_proxy_set_routing (script->proxy, routing);
@@ -558,6 +586,16 @@
             : "no");
   else if (strcmp (words[0], "route") == 0)
     run_route (script, words);
+  else if (strcmp (words[0], "key") == 0)
+    {
+      script->has_teams = TRUE;
+      g_hash_table_replace (script->keys, g_strdup (words[1]),
+                            g_strdup (words[2]));
+    }
+  else if (strcmp (words[0], "revoke") == 0)
+    g_hash_table_remove (script->keys, words[1]);
+  else if (strcmp (words[0], "connections") == 0)
+    script->connection_limit = (guint)strtoull (words[1], NULL, 10);
   else if (strcmp (words[0], "record") == 0)
     run_record (script, words);
   else if (strcmp (words[0], "open") == 0)
@@ -622,6 +660,7 @@
   g_hash_table_iter_init (&iter, script->databases);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     line_database_free (value);
+  g_hash_table_destroy (script->keys);
   g_hash_table_destroy (script->clients);
   g_hash_table_destroy (script->databases);
 }
@@ -636,6 +675,8 @@
   memset (&script, 0, sizeof script);
   script.out = g_string_new (NULL);
   script.next_id = 1;
+  script.connection_limit = CONNECTION_LIMIT;
+  script.keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   script.databases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   script.clients = g_hash_table_new (g_str_hash, g_str_equal);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -214,6 +214,24 @@
         status.received.term, status.received.position, status.connections);
 }
 
+static void
+print_teams (Script *script, const TouRouting *routing)
+{
+  GList *teams = g_list_sort (g_hash_table_get_keys (routing->teams),
+                              (GCompareFunc)tou_name_compare);
+
+  g_string_append_printf (script->out, "teams with %u keys:\n",
+                          g_hash_table_size (routing->keys));
+  for (const GList *node = teams; node != NULL; node = node->next)
+    {
+      const TouTeam *team = g_hash_table_lookup (routing->teams, node->data);
+
+      g_string_append_printf (script->out, "team %s: rate %g burst %g\n",
+                              team->name.data, team->rate_per_s, team->burst);
+    }
+  g_list_free (teams);
+}
+
 static void
 run_config (Script *script, const Command *command)
 {
@@ -249,6 +267,8 @@
     g_string_append_printf (script->out, "group %s: connections %u\n",
                             ((const TouGroupLimits *)item)->name.data,
                             ((const TouGroupLimits *)item)->connection_limit);
+  if (routing->teams != NULL)
+    print_teams (script, routing);
   tou_routing_destroy (routing);
 }
 
