End idle transactions when their links are needed

When idle transactions had pinned all links of a gateway, a statement was refused after 500 ms although a transaction was about to be ended, and another node's transaction was ended only 500 ms after its idle time.

A link that is wanted while all are pinned now ends the transaction that has been idle longest beyond its idle time, at once, with a margin of 50 ms for other nodes. Queued statements wait for that end if it comes before their deadline, and on a replica only if it comes within a second of their arrival. A link that is being opened or rolls back no longer counts as pinned.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -40,7 +40,7 @@
 client_finish_request (TouClient *client)
 {
   client->busy = FALSE;
-  client->idle_since_us = tou_clock_us ();
+  client->pin.idle_since_us = tou_clock_us ();
   if (client->request.tried != NULL)
     g_ptr_array_set_size (client->request.tried, 0);
 }
@@ -150,6 +150,16 @@
   client->txn_lost = TRUE;
 }
 
+/* Ends the open transaction, which is idle. */
+static void
+client_end_txn (TouPin *pin)
+{
+  TouClient *client = TOU_CONTAINER_OF (pin, TouClient, pin);
+
+  client_release_link (client);
+  client->txn_lost = TRUE;
+}
+
 /* Sets the position that a replica must have reached to run the statement.
    @return FALSE if only the primary may run it */
 static gboolean
@@ -897,9 +907,10 @@
 
   client->proxy = proxy;
   client->pin.on_closed = client_on_link_closed;
+  client->pin.end = client_end_txn;
   client->in = g_string_new (NULL);
   client->text = g_string_new (NULL);
-  client->idle_since_us = tou_clock_us ();
+  client->pin.idle_since_us = tou_clock_us ();
   client->list_node.data = client;
   client->prepared = tou_prepared_table_new ();
   tou_values_init (&client->values);
@@ -931,12 +942,9 @@
       return;
     }
   if (client->link != NULL
-      && (now_us - client->idle_since_us >= idle_us
+      && (now_us - client->pin.idle_since_us >= idle_us
           || (proxy->draining && now_us >= proxy->end_txns_us)))
-    {
-      client_release_link (client);
-      client->txn_lost = TRUE;
-    }
+    client_end_txn (&client->pin);
   /* An idle session can be closed without loss: the client reconnects to a node
      that can serve it. */
   if (tou_proxy_should_close_sessions (proxy, now_us) && client->started
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -47,7 +47,6 @@
   TouName last_commit_group;
   gboolean last_commit_unknown; /**< the last commit returned no position */
   TouLogPos last_commit_pos;
-  guint64 idle_since_us;
   gboolean busy; /**< a statement is queued or running */
   TouSlice id;   /**< of the statement; points into text */
   GString *text; /**< id and text of the statement */
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -2,6 +2,7 @@
 
 #include "dispatch.h"
 #include "gateway.h"
+#include "idle-txn.h"
 #include "relay.h"
 
 #include "wire.h"
@@ -204,9 +205,13 @@
 
   if (now_us
           < MAX (endpoint->open_after_us, endpoint->proxy->link_hold_until_us)
-      || endpoint->removed
-      || endpoint->links->len >= tou_endpoint_link_limit (endpoint))
+      || endpoint->removed)
     return;
+  if (endpoint->links->len >= tou_endpoint_link_limit (endpoint))
+    {
+      tou_idle_txn_end_longest (endpoint, now_us);
+      return;
+    }
   for (guint i = 0; i < endpoint->links->len; i++)
     {
       const TouLink *link = g_ptr_array_index (endpoint->links, i);
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -1,6 +1,6 @@
 /**
  * @file link-private.h
- * State of a link; internal to link.c and endpoint.c.
+ * State of a link; internal to link.c, endpoint.c and idle-txn.c.
  */
 #pragma once
 
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -16,7 +16,10 @@
 {
   /** Called when the link is closed while no task runs on it. */
   void (*on_closed) (TouPin *pin);
-  gboolean relayed; /**< for another node */
+  /** Ends the transaction, which is idle, because its link is needed. */
+  void (*end) (TouPin *pin);
+  guint64 idle_since_us; /**< when its last statement ended */
+  gboolean relayed;      /**< for another node */
 };
 
 typedef enum
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -42,6 +42,8 @@
   X (SERVED, "served_total", "statements answered with a database's proof")    \
   X (REFUSED, "refused_total", "statements refused, not run")                  \
   X (EVICTED, "evicted_total", "queued statements refused for other teams")    \
+  X (IDLE_ENDED, "idle_txns_ended_total",                                      \
+     "idle transactions ended for others")                                     \
   X (IN_DOUBT, "in_doubt_total", "statements whose outcome is unknown")        \
   X (RETRIED, "retried_total", "statements moved to another database")         \
   X (REPLICA, "replica_total", "statements run on a replica")                  \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "dispatch.h"
+#include "idle-txn.h"
 #include "stream.h"
 #include "values.h"
 
@@ -15,8 +16,8 @@
 /* Time after the idle timeout at which a transaction is ended if the other node
    has not ended it. */
 #define RELAY_IDLE_MARGIN_US (500 * TOU_US_PER_MS)
-/* Maximum wait for a link while open transactions have pinned all of them;
-   another endpoint may have an idle one. */
+/* Maximum wait for a link while open transactions have pinned all of them and
+   none ends in time; another endpoint may have an idle one. */
 #define RELAY_LINK_WAIT_US (500 * TOU_US_PER_MS)
 /* Maximum number of queued statements per rank: twice as many as a database
    queues itself. */
@@ -171,6 +172,13 @@
   relay_close (relay);
 }
 
+/* The other node receives the end of its transaction as a lost connection. */
+static void
+relay_end_txn (TouPin *pin)
+{
+  relay_close (TOU_CONTAINER_OF (pin, TouRelay, pin));
+}
+
 static void
 relay_on_answer (TouRelay *relay, TouLink *link, const TouTaskResult *result)
 {
@@ -253,6 +261,7 @@
 
   relay->busy = FALSE;
   relay->last_activity_us = now_us;
+  relay->pin.idle_since_us = now_us;
   if (link == NULL)
     relay->link = NULL;
   if (busy)
@@ -301,13 +310,16 @@
     }
 }
 
-/* TRUE if idle transactions have pinned all links. */
-static gboolean
-relay_all_links_pinned (const TouEndpoint *endpoint)
+/* Maximum wait for a link that idle transactions hold until @a end_us. A write
+   has no other endpoint. */
+static guint64
+relay_link_wait_us (const TouRelay *relay, guint64 end_us)
 {
-  return endpoint->links->len >= tou_endpoint_link_limit (endpoint)
-         && endpoint->n_busy == 0
-         && tou_endpoint_idle_link (endpoint, NULL) == NULL;
+  if (end_us < relay->item.deadline_us
+      && (relay->endpoint == tou_group_recorded_primary (relay->endpoint->group)
+          || end_us < relay->last_activity_us + 2 * RELAY_LINK_WAIT_US))
+    return RELAY_STATEMENT_TIMEOUT_US;
+  return RELAY_LINK_WAIT_US;
 }
 
 gboolean
@@ -361,15 +373,16 @@
    session if its transaction has timed out or the database is unavailable. The
    other node receives the reason when it opens its next session. */
 static void
-relay_check (TouRelay *relay, gboolean unavailable, gboolean all_links_pinned,
+relay_check (TouRelay *relay, gboolean unavailable, guint64 txn_end_us,
              guint64 now_us)
 {
   const TouRouting *routing = relay->proxy->routing;
 
   if (relay->item.queued)
     {
-      if (!all_links_pinned
-          || now_us < relay->last_activity_us + RELAY_LINK_WAIT_US)
+      if (txn_end_us == 0
+          || now_us < relay->last_activity_us
+                          + relay_link_wait_us (relay, txn_end_us))
         return;
       tou_queue_remove (relay->endpoint->relay_queue, &relay->item);
       relay_refuse (relay, "transactions hold all connections");
@@ -394,20 +407,20 @@
       = tou_endpoint_has_left (endpoint, now_us) ? "database is leaving"
         : tou_endpoint_has_failed (endpoint)     ? "database does not answer"
                                                  : NULL;
-  gboolean all_links_pinned;
+  guint64 txn_end_us;
   TouQueueItem *item;
   GList *next;
 
   if (endpoint->relay_queue == NULL)
     return;
-  all_links_pinned = relay_all_links_pinned (endpoint);
+  txn_end_us = tou_idle_txn_end_us (endpoint);
   for (GList *list_node = endpoint->relays.head; list_node != NULL;
        list_node = next)
     {
       next = list_node->next;
       relay_report_progress (list_node->data, now_us);
       relay_tell_stopping (list_node->data);
-      relay_check (list_node->data, reason != NULL, all_links_pinned, now_us);
+      relay_check (list_node->data, reason != NULL, txn_end_us, now_us);
     }
   while ((item = reason != NULL
                      ? tou_queue_pop_any (endpoint->relay_queue)
@@ -670,6 +683,7 @@
   relay->text = g_string_new (NULL);
   relay->list_node.data = relay;
   relay->pin.on_closed = relay_on_link_closed;
+  relay->pin.end = relay_end_txn;
   relay->pin.relayed = TRUE;
   relay->prepared = tou_prepared_table_new ();
   tou_values_init (&relay->values);
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -335,6 +335,18 @@
   tou_proxy_set_routing (script->proxy, routing);
 }
 
+static void
+run_gateway_txn_idle (Script *script, char **words)
+{
+  TouRouting *routing = g_new0 (TouRouting, 1);
+
+  routing->version = 1;
+  routing->txn_idle_us = strtoull (words[1], NULL, 10) * TOU_US_PER_MS;
+  routing->routes = g_hash_table_new (tou_name_hash, tou_name_equal_func);
+  routing->groups = g_hash_table_new (tou_name_hash, tou_name_equal_func);
+  tou_proxy_set_routing (script->gateway_proxy, routing);
+}
+
 static gboolean
 has_position_sample (Script *script, gconstpointer data)
 {
@@ -541,6 +553,8 @@
     g_string_append_printf (
         script->out, "%s\n",
         tou_proxy_has_work (script->gateway_proxy) ? "in progress" : "none");
+  else if (strcmp (words[0], "gateway-txn-idle") == 0)
+    run_gateway_txn_idle (script, words);
   else if (strcmp (words[0], "gateway-lost") == 0)
     run_gateway_lost (script, words);
   else if (strcmp (words[0], "attempts") == 0)
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -9,6 +9,7 @@
  *     via ID LIMIT                  reaches the database through a gateway node
  *                                   with a connection limit
  *     route DATABASE primary|bounded|session
+ *     gateway-txn-idle MS           idle time of transactions on the gateway
  *     record REVISION TERM PRIMARY steady|moving
  *     open CLIENT DATABASE          opens a session and waits for READY
  *     query CLIENT TEXT             sends a statement and waits for READY
