Do not evict the connection that the next statement needs

Change: a connection is requested only when no statement can run.

Ruled out: a statement freed while it is queued.

Result: proxy/teams-evict crashes before and passes now.

--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -120,7 +120,8 @@
   if (selection.urgent_only && !tou_endpoint_has_room (endpoint, TRUE, now_us))
     return NULL;
   item = tou_queue_pop_matching (queue, &selection);
-  if (selection.blocked != NULL)
+  /* With an item, the link to evict might be the one that it needs. */
+  if (item == NULL && selection.blocked != NULL)
     tou_endpoint_request_link (endpoint, selection.blocked->flow, now_us);
   return item;
 }
@@ -183,7 +184,8 @@
                                   .data = &reads };
   TouQueueItem *item = tou_queue_pop_matching (group->reads, &selection);
 
-  if (selection.blocked != NULL && best != NULL && dispatch_by_team (group))
+  if (item == NULL && selection.blocked != NULL && best != NULL
+      && dispatch_by_team (group))
     tou_endpoint_request_link (best, selection.blocked->flow, now_us);
   return item;
 }
