Pace a database that has started or recovered

Cause: a database that has just started, restarted or answered again is flooded by the statements that wait for it, or avoided for seconds because of estimates from before it stopped. A replica that fails its statements at once always has room and takes most of what waits.

Change: src/pace decides from the answers how many statements and links a node sends; src/session/pacing.c begins, asks and feeds it for endpoints with direct connections.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -1,6 +1,7 @@
 #include "client.h"
 
 #include "dispatch.h"
+#include "pacing.h"
 #include "stream.h"
 #include "values.h"
 
@@ -404,6 +405,7 @@
 
   if (link == NULL)
     client->link = NULL;
+  tou_pacing_on_result (endpoint, task, result, now_us);
   if (result->outcome == TOU_TASK_ANSWERED && task->sent_us != 0)
     {
       guint64 elapsed_us = MIN (now_us - task->sent_us, TOU_SERVICE_MAX_US);
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -2,6 +2,7 @@
 
 #include "dispatch.h"
 #include "gateway.h"
+#include "pacing.h"
 #include "relay.h"
 
 #include "wire.h"
@@ -51,13 +52,20 @@
 void
 tou_endpoint_set_reachable (TouEndpoint *endpoint, guint64 now_us)
 {
+  TouPaceReason reason
+      = endpoint->is_new ? TOU_PACE_REGISTERED : TOU_PACE_ANSWERS;
+
+  endpoint->last_received_us = now_us;
+  if (endpoint->unreachable_since_us == 0 && !endpoint->is_new)
+    return;
   if (endpoint->unreachable_since_us != 0)
     tou_evlog (TOU_EVLOG_STATE, "endpoint_answers",
                "\"endpoint\":\"%s\",\"silent_ms\":%" G_GUINT64_FORMAT,
                endpoint->info.id.data,
                (now_us - endpoint->unreachable_since_us) / TOU_US_PER_MS);
   endpoint->unreachable_since_us = 0;
-  endpoint->last_received_us = now_us;
+  endpoint->is_new = FALSE;
+  tou_pacing_begin (endpoint, reason, now_us);
 }
 
 void
@@ -174,13 +182,13 @@
 }
 
 gboolean
-tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
-                       guint64 now_us)
+tou_endpoint_has_room (TouEndpoint *endpoint, gboolean urgent, guint64 now_us)
 {
   /* The gateway limits and queues the statements of all nodes by rank. */
   return endpoint->gateway.len > 0
-         || tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
-                                 now_us);
+         || (tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
+                                  now_us)
+             && tou_pacing_has_room (endpoint, urgent, now_us));
 }
 
 guint
@@ -213,7 +221,8 @@
 
       n_opening += link->state != LINK_READY;
     }
-  if (n_opening < LINK_MAX_OPENING)
+  if (n_opening < LINK_MAX_OPENING
+      && tou_pacing_allows_link (endpoint, n_opening))
     tou_link_open (endpoint, now_us);
 }
 
@@ -456,6 +465,7 @@
   tou_group_configure (endpoint->group);
   /* Before the first link: all nodes together have too many connections. */
   proxy->placement_due = TRUE;
+  endpoint->is_new = proxy->synced;
   return endpoint;
 }
 
@@ -504,7 +514,9 @@
   endpoint->status_us = 0;
   endpoint->open_after_us = 0;
   endpoint->unreachable_since_us = 0;
+  tou_pacing_begin (endpoint, TOU_PACE_RESTARTED, tou_clock_us ());
   endpoint_close_links (endpoint, "database started anew");
+  tou_pacing_reset_estimates (endpoint);
 }
 
 void
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "pace.h"
 #include "prepared.h"
 #include "proxy.h"
 #include "window.h"
@@ -75,7 +76,10 @@
   TouProxy *proxy;
   TouGroup *group;
   TouEndpointInfo info;
-  gboolean removed;         /**< its registration was removed */
+  gboolean removed; /**< its registration was removed */
+  /** Registered after this node's own start, and has not answered yet. A
+      database that is found at the start may be under load already. */
+  gboolean is_new;
   guint64 missing_since_us; /**< registration not found; 0: registered */
   guint64 leaving_since_us; /**< draining or missing; 0: neither */
   GPtrArray *links;         /**< of TouLink */
@@ -90,7 +94,9 @@
   guint n_gateways; /**< number of gateways; 0: all nodes connect directly */
   guint64 gateway_inputs; /**< hash of what the gateway was selected from */
   TouWindow window;
-  guint64 latency_us;         /**< moving average of the statement latency */
+  TouPace pace;
+  gboolean pace_held; /**< the pace held back the statement asked for last */
+  guint64 latency_us; /**< moving average of the statement latency */
   guint64 latency_updated_us; /**< when latency_us was last changed */
   guint64 last_received_us;   /**< when data was last received from it */
   guint64 open_after_us;      /**< no new link before this time */
@@ -136,8 +142,10 @@
 void tou_endpoint_add_latency (TouEndpoint *endpoint, guint64 elapsed_us,
                                guint64 now_us);
 
-/** TRUE if the window admits another statement; urgent ones get more room. */
-gboolean tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
+/**
+ * TRUE if window and pace admit another statement; urgent ones get more room.
+ */
+gboolean tou_endpoint_has_room (TouEndpoint *endpoint, gboolean urgent,
                                 guint64 now_us);
 
 /** Maximum number of links that this node opens to it. */
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -677,7 +677,7 @@
 static json_t *
 proxy_dump_endpoint (const TouEndpoint *endpoint)
 {
-  return json_pack (
+  json_t *dump = json_pack (
       "{s:s,s:s,s:s,s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id",
       endpoint->info.id.data, "address", endpoint->info.address.data, "gateway",
       endpoint->gateway.data, "relays", (int)endpoint->relays.length,
@@ -687,6 +687,10 @@
       (json_int_t)endpoint->latency_us, "term",
       (json_int_t)endpoint->newest_pos.term, "position",
       (json_int_t)endpoint->newest_pos.position);
+
+  if (endpoint->pace.active && endpoint->gateway.len == 0)
+    json_object_set_new (dump, "pace_limit", json_real (endpoint->pace.limit));
+  return dump;
 }
 
 char *
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -56,6 +56,8 @@
   X (RELAY_REFUSED, "relay_refused_total", "statements of nodes not run")      \
   X (RELAY_SESSIONS, "relay_sessions_total", "sessions of other nodes")        \
   X (GATEWAYS_AVOIDED, "gateways_avoided_total", "gateways that failed")       \
+  X (PACES, "paces_total", "times that the pace of a database began")          \
+  X (PACE_HELD, "pace_held_total", "statements held back by a pace")           \
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "dispatch.h"
+#include "pacing.h"
 #include "stream.h"
 #include "values.h"
 
@@ -222,6 +223,7 @@
   relay->last_activity_us = now_us;
   if (link == NULL)
     relay->link = NULL;
+  tou_pacing_on_result (endpoint, task, result, now_us);
   if (busy)
     tou_window_refused (&endpoint->window, now_us);
   else if (result->outcome == TOU_TASK_ANSWERED)
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -281,6 +281,38 @@
   gateway_endpoint->lost_log = TRUE;
 }
 
+/* The database registers again, as after a start at the given time. */
+static void
+run_registered (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *endpoint = g_hash_table_lookup (script->proxy->endpoints, &id);
+  TouEndpointInfo info = endpoint->info;
+
+  info.started_ms = strtoull (words[2], NULL, 10);
+  tou_endpoint_update (endpoint, &info);
+}
+
+/* Turns the pace on, or prints that of a database. */
+static void
+run_pace (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  const TouEndpoint *endpoint
+      = g_hash_table_lookup (script->proxy->endpoints, &id);
+
+  if (endpoint == NULL)
+    script->proxy->settings.pace_enabled = strcmp (words[1], "on") == 0;
+  else if (endpoint->pace.active)
+    g_string_append_printf (script->out, "limit %u, %s\n",
+                            (guint)endpoint->pace.limit,
+                            tou_pace_reason_name (endpoint->pace.reason));
+  else
+    g_string_append_printf (
+        script->out, "not paced, held back %s\n",
+        script->proxy->counters[TOU_COUNT_PACE_HELD] > 0 ? "some" : "none");
+}
+
 /* Prints whether more links than given were opened through the gateway. */
 static void
 run_attempts (Script *script, char **words)
@@ -329,6 +361,8 @@
   route->mode = strcmp (words[2], "primary") == 0   ? TOU_READ_FRESH
                 : strcmp (words[2], "bounded") == 0 ? TOU_READ_MAX_AGE
                                                     : TOU_READ_SESSION;
+  if (words[3] != NULL && strcmp (words[3], "review") == 0)
+    route->rank = TOU_RANK_REVIEW;
   route->max_age_us = WAIT_US;
   route->timeout_us = route->target_us = TIMEOUT_US;
   g_hash_table_replace (routing->routes, &route->database, route);
@@ -543,6 +577,10 @@
         tou_proxy_has_work (script->gateway_proxy) ? "in progress" : "none");
   else if (strcmp (words[0], "gateway-lost") == 0)
     run_gateway_lost (script, words);
+  else if (strcmp (words[0], "registered") == 0)
+    run_registered (script, words);
+  else if (strcmp (words[0], "pace") == 0)
+    run_pace (script, words);
   else if (strcmp (words[0], "attempts") == 0)
     run_attempts (script, words);
   else if (strcmp (words[0], "gateway-stop") == 0)
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -279,10 +279,10 @@
     g_string_append_printf (script->out, "%s\n", tou_status_message ());
   else
     g_string_append_printf (
-        script->out, "%s in %s, peers %s, metrics %s, %u descriptors\n",
+        script->out, "%s in %s, peers %s, metrics %s, %u descriptors%s\n",
         settings.node.data, settings.failure_domain.data,
         settings.peers_listen.data, settings.metrics_listen.data,
-        settings.max_descriptors);
+        settings.max_descriptors, settings.pace_enabled ? ", paced" : "");
   g_free (text);
 }
 
