--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -153,8 +153,7 @@
 
   for (guint i = 0; i < reads->group->endpoints->len; i++)
     {
-      const TouEndpoint *endpoint
-          = g_ptr_array_index (reads->group->endpoints, i);
+      TouEndpoint *endpoint = g_ptr_array_index (reads->group->endpoints, i);
 
       if (tou_endpoint_is_usable (endpoint)
           && tou_endpoint_has_room (endpoint, reads->urgent, reads->now_us)
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -3,6 +3,7 @@
 #include "dispatch.h"
 #include "gateway.h"
 #include "idle-txn.h"
+#include "pacing.h"
 #include "relay.h"
 
 #include "wire.h"
@@ -52,13 +53,20 @@
 void
 tou_endpoint_set_reachable (TouEndpoint *endpoint, guint64 now_us)
 {
+  TouPaceReason reason
+      = endpoint->is_new ? TOU_PACE_REGISTERED : TOU_PACE_ANSWERS;
+
+  endpoint->last_received_us = now_us;
+  if (endpoint->unreachable_since_us == 0 && !endpoint->is_new)
+    return;
   if (endpoint->unreachable_since_us != 0)
     tou_evlog (TOU_EVLOG_STATE, "endpoint_answers",
                "\"endpoint\":\"%s\",\"silent_ms\":%" G_GUINT64_FORMAT,
                endpoint->info.id.data,
                (now_us - endpoint->unreachable_since_us) / TOU_US_PER_MS);
   endpoint->unreachable_since_us = 0;
-  endpoint->last_received_us = now_us;
+  endpoint->is_new = FALSE;
+  tou_pacing_begin (endpoint, reason, now_us);
 }
 
 void
@@ -175,13 +183,13 @@
 }
 
 gboolean
-tou_endpoint_has_room (const TouEndpoint *endpoint, gboolean urgent,
-                       guint64 now_us)
+tou_endpoint_has_room (TouEndpoint *endpoint, gboolean urgent, guint64 now_us)
 {
   /* The gateway limits and queues the statements of all nodes by rank. */
   return endpoint->gateway.len > 0
-         || tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
-                                 now_us);
+         || (tou_window_has_room (&endpoint->window, endpoint->n_busy, urgent,
+                                  now_us)
+             && tou_pacing_has_room (endpoint, urgent, now_us));
 }
 
 guint
@@ -224,6 +232,7 @@
                            guint64 now_us)
 {
   guint n_opening = 0;
+  gboolean has_place;
 
   if (now_us
           < MAX (endpoint->open_after_us, endpoint->proxy->link_hold_until_us)
@@ -242,10 +251,11 @@
     }
   if (n_opening >= LINK_MAX_OPENING)
     return;
-  if (endpoint->links->len < tou_endpoint_link_limit (endpoint)
+  has_place = endpoint->links->len < tou_endpoint_link_limit (endpoint);
+  if ((has_place && tou_pacing_allows_link (endpoint, n_opening))
       || endpoint_evict_link (endpoint, team))
     tou_link_open (endpoint, team, now_us);
-  else
+  else if (!has_place)
     tou_idle_txn_end_longest (endpoint, now_us);
 }
 
@@ -489,6 +499,7 @@
   tou_group_configure (endpoint->group);
   /* Before the first link: all nodes together have too many connections. */
   proxy->placement_due = TRUE;
+  endpoint->is_new = proxy->synced;
   return endpoint;
 }
 
@@ -537,7 +548,9 @@
   endpoint->status_us = 0;
   endpoint->open_after_us = 0;
   endpoint->unreachable_since_us = 0;
+  tou_pacing_begin (endpoint, TOU_PACE_RESTARTED, tou_clock_us ());
   endpoint_close_links (endpoint, "database started anew");
+  tou_pacing_reset_estimates (endpoint);
 }
 
 void
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -2,6 +2,7 @@
 
 #include "dispatch.h"
 #include "idle-txn.h"
+#include "pacing.h"
 #include "stream.h"
 #include "values.h"
 
@@ -266,6 +267,7 @@
   relay->pin.idle_since_us = now_us;
   if (link == NULL)
     relay->link = NULL;
+  tou_pacing_on_result (endpoint, task, result, now_us);
   if (busy)
     tou_window_refused (&endpoint->window, now_us);
   else if (result->outcome == TOU_TASK_ANSWERED)
