Test the bounds of a quota with a holder that hoards credit

Random demand never came near the bounds, so the test passed without the float, without the start level and with replies taken twice. A hoarding holder found that an issuer of a small team with a large burst among 16 began so far in debt that it issued nothing for 11 s; a team now has at most as many issuers as its start level has credits.

--- a/src/quota/quota-limits.c
+++ b/src/quota/quota-limits.c
@@ -86,11 +86,13 @@
                    + limits->bounds.slack;
   guint n = limits->n_issuers;
 
+  /* Each issuer is to begin with a credit. */
   while (n > 1
-         && limits_capacity (limits, limit) + n
-                    + limits_float (limits, limit, n)
-                    + limits_start (limits, limit)
-                > allowed)
+         && (n > limits_start (limits, limit)
+             || limits_capacity (limits, limit) + n
+                        + limits_float (limits, limit, n)
+                        + limits_start (limits, limit)
+                    > allowed))
     n--;
   return n;
 }
--- a/src/quota/quota-limits.h
+++ b/src/quota/quota-limits.h
@@ -10,7 +10,7 @@
  *     capacity  max (burst, 0.2 x excess x W x rate)
  *     float F   0.6 x excess x W x rate + 0.5 x slack, at least n
  *     start S   0.2 x excess x W x rate + 0.25 x slack
- *     n         as many issuers as the rest of the bounds allows
+ *     n         as many issuers as the rest of the bounds allows, at most S
  */
 #pragma once
 
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -716,11 +716,184 @@
     }
 }
 
+/* A holder that asks all issuers for as much as it can get, keeps it for almost
+   a second in every seven, and then uses it at once. */
+typedef struct
+{
+  guint n;
+  guint64 restart_us; /* of all issuers, while the holder goes on; 0: never */
+  guint64 now_us;
+  TouQuotaLimits *limits[TOU_QUOTA_MAX_ISSUERS];
+  TouQuotaIssuer *issuers[TOU_QUOTA_MAX_ISSUERS];
+  GArray *expiries[TOU_QUOTA_MAX_ISSUERS]; /* of guint64: unused credit */
+  GArray *used;                            /* of guint64 */
+  guint window;
+} Hoarder;
+
+static void
+hoarder_start_issuer (Hoarder *hoarder, guint index, double rate, double burst)
+{
+  const TouQuotaBounds bounds = { WINDOW_US, EXCESS, SLACK };
+  TouName names[TOU_QUOTA_MAX_ISSUERS];
+  TouName team = tou_name ("t");
+
+  for (guint i = 0; i < hoarder->n; i++)
+    {
+      char letter[] = { (char)('a' + i), '\0' };
+
+      names[i] = tou_name (letter);
+    }
+  tou_quota_issuer_destroy (hoarder->issuers[index]);
+  tou_quota_limits_destroy (hoarder->limits[index]);
+  tou_quota_limits_create (&hoarder->limits[index], &names[index], &bounds);
+  tou_quota_issuer_create (&hoarder->issuers[index], &names[index],
+                           hoarder->limits[index]);
+  tou_quota_limits_set_issuers (hoarder->limits[index], names, hoarder->n,
+                                hoarder->now_us);
+  tou_quota_limits_set (hoarder->limits[index], &team, rate, burst,
+                        hoarder->now_us);
+}
+
+static void
+hoarder_ask (Hoarder *hoarder, guint index)
+{
+  GArray *expiries = hoarder->expiries[index];
+  guint64 expires_us = hoarder->now_us + TOU_QUOTA_CREDIT_US;
+  TouQuotaRequest request
+      = { tou_name ("h"), 1, hoarder->now_us, 1, { { .held = 0 } } };
+  TouQuotaReply reply;
+
+  while (expiries->len > 0
+         && g_array_index (expiries, guint64, 0) <= hoarder->now_us)
+    g_array_remove_index (expiries, 0);
+  request.entries[0].team = tou_name ("t");
+  request.entries[0].want = G_MAXUINT32;
+  request.entries[0].held = expiries->len;
+  assert_true (tou_quota_issuer_on_request (hoarder->issuers[index], &reply,
+                                            &request, TRUE, hoarder->now_us));
+  for (guint64 i = 0; i < reply.entries[0].granted; i++)
+    g_array_append_val (expiries, expires_us);
+  if (hoarder->now_us / TOU_US_PER_S % 7 == 6)
+    return;
+  for (; expiries->len > 0; g_array_set_size (expiries, expiries->len - 1))
+    g_array_append_val (hoarder->used, hoarder->now_us);
+}
+
+static void
+run_hoarder (guint n, double rate, double burst, guint64 restart_us)
+{
+  Hoarder hoarder = { n, restart_us, 0, { 0 }, { 0 }, { 0 }, NULL, 0 };
+  double allowed = (rate * 5 + burst) * (1 + EXCESS) + SLACK;
+  guint fullest = 0;
+
+  hoarder.used = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint i = 0; i < n; i++)
+    hoarder.expiries[i] = g_array_new (FALSE, FALSE, sizeof (guint64));
+  for (guint64 step = 0; step < 2000; step++)
+    {
+      hoarder.now_us += TICK_US;
+      for (guint i = 0; i < n; i++)
+        {
+          if (step == 0
+              || (restart_us != 0 && hoarder.now_us % restart_us == 0))
+            hoarder_start_issuer (&hoarder, i, rate, burst);
+          hoarder_ask (&hoarder, i);
+        }
+      while (hoarder.window < hoarder.used->len
+             && g_array_index (hoarder.used, guint64, hoarder.window)
+                        + WINDOW_US
+                    <= hoarder.now_us)
+        hoarder.window++;
+      fullest = MAX (fullest, hoarder.used->len - hoarder.window);
+    }
+  print_message ("hoarder, %u issuers, rate %.0f, burst %.0f, restarts after "
+                 "%" G_GUINT64_FORMAT " ms: fullest window %.1f%% of the "
+                 "bound\n",
+                 n, rate, burst, restart_us / TOU_US_PER_MS,
+                 100 * fullest / allowed);
+  assert_true (fullest <= allowed);
+  for (guint i = 0; i < n; i++)
+    {
+      tou_quota_issuer_destroy (hoarder.issuers[i]);
+      tou_quota_limits_destroy (hoarder.limits[i]);
+      g_array_unref (hoarder.expiries[i]);
+    }
+  g_array_unref (hoarder.used);
+}
+
+/* Guards against issuers that count credit too low, or begin with too much. The
+   start levels allow restarts of all issuers after 2 s, but not after 1.1 s. */
+static void
+test_hoarder (void **state)
+{
+  static const guint64 restarts_ms[] = { 0, 400, 2000, 5000, 7000 };
+  static const double rates[] = { 1, 20, 500 };
+  static const double bursts[] = { 1, 100 };
+
+  (void)state;
+  for (guint i = 0; i < 30; i++)
+    for (guint n = PANEL; n <= TOU_QUOTA_MAX_ISSUERS; n += 11)
+      run_hoarder (n, rates[i % 3], bursts[i / 3 % 2],
+                   restarts_ms[i / 6] * TOU_US_PER_MS);
+}
+
+/* Guards against credit that is used twice or after it has expired. */
+static void
+test_messages (void **state)
+{
+  const TouQuotaBounds bounds = { WINDOW_US, EXCESS, SLACK };
+  TouName self = tou_name ("a");
+  TouName team = tou_name ("t");
+  guint64 now_us = 10 * TOU_US_PER_S;
+  TouQuotaLimits *limits;
+  TouQuotaHolder *holder;
+  TouQuotaIssuer *issuer;
+  TouQuotaRequest request;
+  TouQuotaReply reply;
+  TouQuotaCredit credit;
+  TouQuotaRefusal refusal;
+
+  (void)state;
+  tou_quota_limits_create (&limits, &self, &bounds);
+  tou_quota_holder_create (&holder, &self, 1, limits);
+  tou_quota_issuer_create (&issuer, &self, limits);
+  tou_quota_limits_set_issuers (limits, &self, 1, 0);
+  tou_quota_limits_set (limits, &team, 10, 10, 0);
+  assert_int_equal (
+      tou_quota_holder_take (holder, &team, now_us, &credit, &refusal),
+      TOU_QUOTA_WAIT);
+  tou_quota_holder_set_waiting (holder, &team, 3, now_us);
+  assert_non_null (tou_quota_holder_next_request (holder, &request, now_us));
+  assert_true (
+      tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+  assert_false (
+      tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+  assert_true (tou_quota_holder_on_reply (holder, &reply, now_us));
+  assert_false (tou_quota_holder_on_reply (holder, &reply, now_us));
+  assert_int_equal (tou_quota_holder_stock (holder, &team, now_us), 3);
+  assert_true (tou_quota_holder_take_stock (holder, &team, now_us, &credit));
+  tou_quota_holder_return (holder, &team, &credit, now_us);
+  assert_int_equal (tou_quota_holder_stock (holder, &team, now_us), 3);
+  now_us += TOU_QUOTA_CREDIT_US;
+  tou_quota_holder_return (holder, &team, &credit, now_us);
+  assert_false (tou_quota_holder_take_stock (holder, &team, now_us, &credit));
+  /* A reply that arrives after its credit has expired. */
+  assert_non_null (tou_quota_holder_next_request (holder, &request, now_us));
+  assert_true (
+      tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+  now_us += TOU_QUOTA_CREDIT_US;
+  assert_false (tou_quota_holder_on_reply (holder, &reply, now_us));
+  tou_quota_holder_destroy (holder);
+  tou_quota_issuer_destroy (issuer);
+  tou_quota_limits_destroy (limits);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_calm), cmocka_unit_test (test_faults) };
+      = { cmocka_unit_test (test_messages), cmocka_unit_test (test_hoarder),
+          cmocka_unit_test (test_calm), cmocka_unit_test (test_faults) };
 
   return cmocka_run_group_tests_name ("quota", tests, NULL, NULL);
 }
