Exchange credit between nodes

The quota modules have no I/O. credit.c sends their requests and replies as datagrams over the socket of the heartbeats, keeps the operations that wait, and has counters, a section for the dump and the log event quota_refused. The panel is the issuers, or all nodes where there is no panel. Nothing is allocated or sent while no team has a limit; nothing calls it yet.

test-credit: nodes on loopback use the credit of the others, of the panel, and refuse without a majority; waits end once, when cancelled without a call.

--- a/src/session/credit.h
+++ b/src/session/credit.h
@@ -23,6 +23,7 @@
 #pragma once
 
 #include "peers.h"
+#include "quota-holder.h"
 
 #include <jansson.h>
 
@@ -48,8 +49,9 @@
   guint64 deadline_us; /**< of the operation; refused at that time */
   /* Set by tou_credit_take(). */
   gboolean waiting;
-  guint64 until_us; /**< refused at that time */
-  GList link;       /**< in the queue of its team */
+  guint64 until_us;      /**< refused at that time */
+  GList link;            /**< in the queue of its team */
+  TouQuotaCredit credit; /**< if granted: for tou_credit_return() */
 };
 
 typedef enum
@@ -59,7 +61,14 @@
   TOU_CREDIT_REFUSED
 } TouCreditResult;
 
+/** Bounds that are used unless others are set. */
+#define TOU_CREDIT_WINDOW_US (5 * TOU_US_PER_S)
+#define TOU_CREDIT_EXCESS 0.1
+#define TOU_CREDIT_SLACK 20
+
 void tou_credit_create (TouCredit **out, TouProxy *proxy, TouPeers *peers);
+/** Sets the bounds of all limits; call it before the first one is set. */
+void tou_credit_set_bounds (TouCredit *credit, const TouQuotaBounds *bounds);
 /** NULL is ignored. Operations that wait are dropped without a call. */
 void tou_credit_destroy (TouCredit *credit);
 
@@ -93,13 +102,18 @@
 /** Ends a wait without a call; a wait that is not waiting is ignored. */
 void tou_credit_cancel (TouCredit *credit, TouCreditWait *wait);
 
-/** Gives back the credit of an operation that was not sent to a database. */
-void tou_credit_return (TouCredit *credit, const TouName *team, guint64 now_us);
+/**
+ * Gives back the credit of an operation that was granted it and was not sent to
+ * a database; call it at most once for each operation.
+ */
+void tou_credit_return (TouCredit *credit, TouCreditWait *wait, guint64 now_us);
 
 /** Sends the due requests and ends waits; call it every 25 ms. */
 void tou_credit_tick (TouCredit *credit, guint64 now_us);
 
-/** Teams with their limits, credit and issuer state; the caller owns it. */
-json_t *tou_credit_dump (const TouCredit *credit, guint64 now_us);
+/**
+ * Teams in use with their limits, credit and issuer state; the caller owns it.
+ */
+json_t *tou_credit_dump (TouCredit *credit, guint64 now_us);
 
 G_END_DECLS
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 
+#include "quota-wire.h"
 #include "revision.h"
 #include "stream.h"
 
@@ -104,16 +105,18 @@
 {
   TouProxy *proxy;
   uv_udp_t udp;
-  GHashTable *nodes;       /* TouName to Peer */
-  guint64 sent_all_us;     /* last heartbeats to all nodes or the panel */
-  guint64 jitter_us;       /* added to the next interval */
-  guint64 sent_leader_us;  /* last heartbeat to the leader */
-  guint64 sent_state;      /* hash of the last state sent to the leader */
-  guint64 member_since_us; /* when this node became a member of the panel */
-  guint64 summary_us;      /* when the two below were updated */
-  GArray *silent;          /* of PeerSilent: nodes that this one misses */
-  gboolean has_lost;       /* a node may have lost its registration */
-  gboolean vouches;        /* this node's records may be used as proofs */
+  GHashTable *nodes;        /* TouName to Peer */
+  guint64 sent_all_us;      /* last heartbeats to all nodes or the panel */
+  guint64 jitter_us;        /* added to the next interval */
+  guint64 sent_leader_us;   /* last heartbeat to the leader */
+  guint64 sent_state;       /* hash of the last state sent to the leader */
+  guint64 member_since_us;  /* when this node became a member of the panel */
+  guint64 summary_us;       /* when the two below were updated */
+  GArray *silent;           /* of PeerSilent: nodes that this one misses */
+  gboolean has_lost;        /* a node may have lost its registration */
+  gboolean vouches;         /* this node's records may be used as proofs */
+  TouPeersHandler on_quota; /* NULL: messages of quotas are not expected */
+  gpointer quota_context;
 };
 
 static void
@@ -461,26 +464,60 @@
   peers_pack_groups (packer, peers, peer, content, now_us);
 }
 
+static void
+peers_send_bytes (TouPeers *peers, const Peer *peer, char *data, gsize size)
+{
+  uv_buf_t buf = uv_buf_init (data, (unsigned int)size);
+
+  /* Errors are ignored: a later message replaces a lost one. */
+  uv_udp_try_send (&peers->udp, &buf, 1,
+                   (const struct sockaddr *)&peer->address);
+  TOU_COUNT (peers->proxy, PEER_SENT);
+  peers->proxy->counters[TOU_COUNT_PEER_BYTES] += size;
+}
+
 static void
 peers_send (TouPeers *peers, const Peer *peer, guint64 flags,
             PeersContent content, guint64 now_us)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
-  uv_buf_t buf;
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   peers_pack (&packer, peers, peer, flags, content, now_us);
-  buf = uv_buf_init (buffer.data, (unsigned int)buffer.size);
-  /* Errors are ignored: the next heartbeat replaces a lost one. */
-  uv_udp_try_send (&peers->udp, &buf, 1,
-                   (const struct sockaddr *)&peer->address);
-  TOU_COUNT (peers->proxy, PEER_SENT);
-  peers->proxy->counters[TOU_COUNT_PEER_BYTES] += buffer.size;
+  peers_send_bytes (peers, peer, buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
 }
 
+void
+tou_peers_set_quota_handler (TouPeers *peers, TouPeersHandler handler,
+                             gpointer context)
+{
+  peers->on_quota = handler;
+  peers->quota_context = context;
+}
+
+gboolean
+tou_peers_send_to (TouPeers *peers, const TouName *node, char *data, gsize size)
+{
+  const Peer *peer = g_hash_table_lookup (peers->nodes, node);
+
+  if (peer != NULL)
+    peers_send_bytes (peers, peer, data, size);
+  return peer != NULL;
+}
+
+guint64
+tou_peers_rtt_us (const TouPeers *peers, const TouName *node, guint64 now_us)
+{
+  const Peer *peer = g_hash_table_lookup (peers->nodes, node);
+
+  if (peer == NULL || now_us >= peer->echoed_us + PEERS_REPORTING_US)
+    return G_MAXUINT64;
+  return peer->rtt_us;
+}
+
 static gboolean
 unpack_name (TouName *out, const msgpack_object *object)
 {
@@ -841,15 +878,21 @@
 {
   TouPeers *peers = udp->data;
   msgpack_unpacked unpacked;
+  gboolean ok;
 
   (void)flags;
   if (n <= 0 || from == NULL)
     return;
   TOU_COUNT (peers->proxy, PEER_MESSAGES);
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, buf->base, (size_t)n, NULL)
-          != MSGPACK_UNPACK_SUCCESS
-      || !peers_on_message (peers, &unpacked.data))
+  ok = msgpack_unpack_next (&unpacked, buf->base, (size_t)n, NULL)
+       == MSGPACK_UNPACK_SUCCESS;
+  if (ok && peers->on_quota != NULL
+      && tou_quota_wire_type (&unpacked.data) != 0)
+    ok = peers->on_quota (peers->quota_context, &unpacked.data);
+  else
+    ok = ok && peers_on_message (peers, &unpacked.data);
+  if (!ok)
     TOU_COUNT (peers->proxy, MALFORMED);
   msgpack_unpacked_destroy (&unpacked);
 }
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -10,6 +10,8 @@
 #include "link.h"
 #include "panel.h"
 
+#include <msgpack.h>
+
 G_BEGIN_DECLS
 
 typedef struct TouPeers TouPeers;
@@ -75,6 +77,24 @@
 /** TRUE if a majority of the panel answers. */
 gboolean tou_peers_reach_panel (const TouPeers *peers, guint64 now_us);
 
+/** Handles a message of quotas. @return FALSE if it is malformed */
+typedef gboolean (*TouPeersHandler) (gpointer context,
+                                     const msgpack_object *message);
+
+/** Sets the handler of messages that begin with a type of quota-wire.h. */
+void tou_peers_set_quota_handler (TouPeers *peers, TouPeersHandler handler,
+                                  gpointer context);
+/** Sends a datagram. @return FALSE if the node is not registered */
+gboolean tou_peers_send_to (TouPeers *peers, const TouName *node, char *data,
+                            gsize size);
+/**
+ * Returns the round trip time of the last heartbeat that @a node returned;
+ * G_MAXUINT64 if there was none lately. Without a panel, it includes the time
+ * until the node's next heartbeat.
+ */
+guint64 tou_peers_rtt_us (const TouPeers *peers, const TouName *node,
+                          guint64 now_us);
+
 /** Sends the heartbeats that are due. */
 void tou_peers_tick (TouPeers *peers, guint64 now_us);
 
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -64,7 +64,11 @@
   X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
   X (PEER_BYTES, "peer_bytes_total", "bytes sent to other nodes")              \
   X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
-  X (HANDOVERS, "handovers_total", "changes of primary run by this node")
+  X (HANDOVERS, "handovers_total", "changes of primary run by this node")      \
+  X (QUOTA_GRANTED, "quota_granted_total", "operations given credit")          \
+  X (QUOTA_REFUSED, "quota_refused_total", "operations without credit")        \
+  X (QUOTA_REQUESTS, "quota_requests_total", "requests sent to issuers")       \
+  X (QUOTA_ANSWERED, "quota_answered_total", "requests answered as issuer")
 
 typedef enum
 {
