Ask for a team's credit at the start of each operation

Credit of an operation that was not sent is given back. The limits come from the configuration, their bounds from the settings bounds.quotaWindowS, quotaExcess and quotaSlack. The dump shows the state of each team.

Ruled out: credit for each statement, which would end transactions half-way.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -122,6 +122,10 @@
 {
   gboolean in_doubt = code == TOU_SQL_E_IN_DOUBT;
 
+  if (client->has_credit)
+    tou_credit_return (client->proxy->credit, &client->credit_wait,
+                       tou_clock_us ());
+  client->has_credit = FALSE;
   if (in_doubt)
     TOU_COUNT (client->proxy, IN_DOUBT);
   else
@@ -488,6 +492,7 @@
   TouEndpoint *endpoint = tou_link_endpoint (link);
   gboolean in_txn = client->state == TOU_SQL_STATE_OPEN;
 
+  client->has_credit = FALSE;
   request->attempts++;
   request->task.assigned_endpoint = endpoint;
   request->task.begin = in_txn && client->link == NULL;
@@ -561,6 +566,72 @@
                endpoint);
 }
 
+static void
+client_submit (TouClient *client)
+{
+  client_enqueue (client);
+  if (client->busy)
+    tou_dispatch_group (tou_group_get (client->proxy, &client->route.group));
+}
+
+static void
+client_refuse_quota (TouClient *client, guint64 retry_us, const char *reason)
+{
+  char text[CLIENT_TEXT_MAX];
+
+  g_snprintf (text, sizeof text, "%s; retry after %" G_GUINT64_FORMAT " ms",
+              reason, retry_us / TOU_US_PER_MS);
+  client_fail (client, TOU_SQL_E_BUSY, text, NULL);
+}
+
+static void
+client_on_credit (TouCreditWait *wait, gboolean granted, guint64 retry_us,
+                  const char *reason)
+{
+  TouClient *client = TOU_CONTAINER_OF (wait, TouClient, credit_wait);
+
+  client->has_credit = granted;
+  if (granted)
+    client_submit (client);
+  else
+    client_refuse_quota (client, retry_us, reason);
+  if (!client->busy)
+    client_parse (client);
+}
+
+/* Submits a statement outside of a transaction, or the first one in it, within
+   the quota of its team. */
+static void
+client_begin_operation (TouClient *client)
+{
+  TouCredit *credit = client->proxy->credit;
+  TouCreditWait *wait = &client->credit_wait;
+  guint64 retry_us;
+  const char *reason;
+
+  if (credit == NULL || client->team.len == 0)
+    {
+      client_submit (client);
+      return;
+    }
+  wait->done = client_on_credit;
+  wait->team = client->team;
+  wait->deadline_us = client->request.deadline_us;
+  switch (tou_credit_take (credit, wait, client->request.arrived_us, &retry_us,
+                           &reason))
+    {
+    case TOU_CREDIT_GRANTED:
+      client->has_credit = TRUE;
+      client_submit (client);
+      break;
+    case TOU_CREDIT_WAITING:
+      break;
+    case TOU_CREDIT_REFUSED:
+      client_refuse_quota (client, retry_us, reason);
+      break;
+    }
+}
+
 /* Sends a read, write, execution or commit to a database. */
 static void
 client_forward (TouClient *client, const TouSqlStatement *statement,
@@ -599,13 +670,9 @@
   request->task.may_commit = request->commit || (request->writes && !in_txn);
   request->needs_primary = request->writes || (in_txn && !client->read_only);
   if (client->link != NULL)
-    {
-      client_continue_txn (client);
-      return;
-    }
-  client_enqueue (client);
-  if (client->busy)
-    tou_dispatch_group (tou_group_get (client->proxy, &client->route.group));
+    client_continue_txn (client);
+  else
+    client_begin_operation (client);
 }
 
 static void
@@ -921,7 +988,8 @@
 static gboolean
 client_is_running (const TouClient *client)
 {
-  return client->busy && !client->request.item.queued;
+  return client->busy && !client->request.item.queued
+         && !client->credit_wait.waiting;
 }
 
 void
@@ -936,7 +1004,14 @@
   if (client_is_running (client))
     return;
   client->closing = TRUE;
-  if (client->busy)
+  client->has_credit = FALSE;
+  if (client->credit_wait.waiting)
+    {
+      /* At the end of the process, the waits have been dropped before. */
+      if (client->proxy->credit != NULL)
+        tou_credit_cancel (client->proxy->credit, &client->credit_wait);
+    }
+  else if (client->busy)
     {
       group = tou_group_get (client->proxy, &client->route.group);
       tou_queue_remove (client_queue (client, group), &client->request.item);
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "credit.h"
 #include "link.h"
 
 G_BEGIN_DECLS
@@ -54,6 +55,8 @@
   TouSlice id;   /**< of the statement; points into text */
   GString *text; /**< id and text of the statement */
   TouClientRequest request;
+  TouCreditWait credit_wait; /**< of the running operation */
+  gboolean has_credit;       /**< for an operation that was not sent yet */
 };
 
 /** Accepts a client connection from @a server. */
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -1,6 +1,7 @@
 #include "proxy.h"
 
 #include "client.h"
+#include "credit.h"
 #include "dispatch.h"
 #include "relay.h"
 #include "stream.h"
@@ -285,6 +286,29 @@
     }
 }
 
+/* Sets the limits of the teams that have a quota. */
+static void
+proxy_set_quotas (TouProxy *proxy)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  tou_credit_begin_update (proxy->credit);
+  if (proxy->routing->teams != NULL)
+    {
+      g_hash_table_iter_init (&iter, proxy->routing->teams);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const TouTeam *team = value;
+
+          if (team->rate_per_s > 0)
+            tou_credit_set_limit (proxy->credit, &team->name, team->rate_per_s,
+                                  team->burst);
+        }
+    }
+  tou_credit_end_update (proxy->credit);
+}
+
 void
 tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing)
 {
@@ -313,6 +337,8 @@
       tou_group_get (proxy, &limits->name)->target_us = G_MAXUINT64;
     }
   proxy_set_targets (proxy);
+  if (proxy->credit != NULL)
+    proxy_set_quotas (proxy);
 }
 
 gboolean
@@ -728,6 +754,9 @@
       (json_int_t)(proxy->routing != NULL ? proxy->routing->version : 0),
       "sessions", (int)proxy->clients.length, "nodes", (int)proxy->n_nodes,
       "draining", proxy->draining, "groups", groups);
+  if (proxy->credit != NULL)
+    json_object_set_new (root, "quotas",
+                         tou_credit_dump (proxy->credit, tou_clock_us ()));
   text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   return text;
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -30,6 +30,7 @@
 typedef struct TouLink TouLink;
 typedef struct TouClient TouClient;
 typedef struct TouTask TouTask;
+typedef struct TouCredit TouCredit;
 
 /** The structure of @a type that contains the @a member at @a pointer. */
 #define TOU_CONTAINER_OF(pointer, type, member)                                \
@@ -93,6 +94,7 @@
   uv_loop_t *loop;
   TouNodeSettings settings;
   guint64 incarnation;   /**< wall-clock ms of the start */
+  TouCredit *credit;     /**< of teams with a quota; NULL: not checked */
   TouRouting *routing;   /**< NULL until the first configuration is received */
   GHashTable *groups;    /**< TouName to TouGroup */
   GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -2,6 +2,7 @@
 
 #include "admin.h"
 #include "control.h"
+#include "credit.h"
 #include "placement.h"
 #include "relay.h"
 
@@ -105,6 +106,7 @@
   tou_placement_tick (daemon->proxy, daemon->peers, now_us);
   tou_proxy_tick (daemon->proxy, now_us);
   tou_peers_tick (daemon->peers, now_us);
+  tou_credit_tick (daemon->proxy->credit, now_us);
   if (daemon->deregister_start_us == 0)
     tou_control_tick (daemon->control, now_us);
   if (daemon->proxy->draining)
@@ -124,6 +126,11 @@
 sessiond_destroy (TouSessiond *daemon)
 {
   tou_admin_destroy (daemon->admin);
+  if (daemon->proxy != NULL)
+    {
+      tou_credit_destroy (daemon->proxy->credit);
+      daemon->proxy->credit = NULL;
+    }
   plat_http_destroy (daemon->http);
   tou_control_destroy (daemon->control);
   tou_peers_destroy (daemon->peers);
@@ -131,6 +138,17 @@
   plat_store_destroy (daemon->store);
 }
 
+static void
+sessiond_create_credit (TouProxy *proxy, TouPeers *peers)
+{
+  const TouNodeSettings *settings = &proxy->settings;
+  TouQuotaBounds bounds = { settings->quota_window_us, settings->quota_excess,
+                            settings->quota_slack };
+
+  tou_credit_create (&proxy->credit, proxy, peers);
+  tou_credit_set_bounds (proxy->credit, &bounds);
+}
+
 int
 tou_sessiond_run (const TouNodeSettings *settings, const char *settings_path)
 {
@@ -151,6 +169,8 @@
                                 settings->cloud_api_address.data);
   if (status == TOU_OK)
     status = tou_peers_create (&daemon.peers, daemon.proxy);
+  if (status == TOU_OK)
+    sessiond_create_credit (daemon.proxy, daemon.peers);
   if (status == TOU_OK)
     status = tou_control_create (&daemon.control, daemon.proxy, daemon.store,
                                  daemon.peers);
