--- a/src/session/client.c
+++ b/src/session/client.c
@@ -296,6 +296,8 @@
 client_wait_for_replica (TouClient *client, TouEndpoint *endpoint)
 {
   client->request.attempts--;
+  tou_queue_refund (client_queue (client, endpoint->group),
+                    &client->request.item);
   tou_dispatch_mark_lagging (endpoint, client->request.after, tou_clock_us ());
   client_enqueue (client);
 }
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -229,7 +229,12 @@
       g_ptr_array_add (deferred, client);
     }
   for (guint i = 0; deferred != NULL && i < deferred->len; i++)
-    tou_client_requeue_request (g_ptr_array_index (deferred, i));
+    {
+      TouClient *client = g_ptr_array_index (deferred, i);
+
+      tou_queue_refund (group->reads, &client->request.item);
+      tou_client_requeue_request (client);
+    }
   if (deferred != NULL)
     g_ptr_array_unref (deferred);
 }
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -229,11 +229,6 @@
           < MAX (endpoint->open_after_us, endpoint->proxy->link_hold_until_us)
       || endpoint->removed)
     return;
-  if (endpoint->links->len >= tou_endpoint_link_limit (endpoint))
-    {
-      tou_idle_txn_end_longest (endpoint, now_us);
-      return;
-    }
   for (guint i = 0; i < endpoint->links->len; i++)
     {
       const TouLink *link = g_ptr_array_index (endpoint->links, i);
@@ -249,6 +244,8 @@
       && (endpoint->links->len < tou_endpoint_link_limit (endpoint)
           || endpoint_evict_link (endpoint, team)))
     tou_link_open (endpoint, team, now_us);
+  else if (n_opening == 0)
+    tou_idle_txn_end_longest (endpoint, now_us);
 }
 
 TouLink *
