--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -711,12 +711,15 @@
             proxy_dump_endpoint (g_ptr_array_index (group->endpoints, i)));
       json_array_append_new (
           groups,
-          json_pack ("{s:s,s:I,s:I,s:s,s:b,s:i,s:i,s:o}", "name",
+          json_pack ("{s:s,s:I,s:I,s:s,s:b,s:i,s:i,s:i,s:o}", "name",
                      group->name.data, "revision", (json_int_t)record->revision,
                      "term", (json_int_t)record->term, "primary",
                      record->primary.data, "moving", record->moving,
                      "queued_writes", (int)tou_queue_length (group->writes),
                      "queued_reads", (int)tou_queue_length (group->reads),
+                     "queued_flows",
+                     (int)(tou_queue_flows (group->writes)
+                           + tou_queue_flows (group->reads)),
                      "endpoints", endpoints));
     }
   root = json_pack (
