--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -363,6 +363,15 @@
   tou_proxy_set_routing (script->proxy, routing);
 }
 
+static void
+run_queue_limit (Script *script, char **words)
+{
+  tou_queue_destroy (script->group->writes);
+  tou_queue_create (&script->group->writes,
+                    (guint)strtoull (words[1], NULL, 10), 1);
+  tou_group_configure (script->group);
+}
+
 static void
 run_gateway_txn_idle (Script *script, char **words)
 {
@@ -581,6 +590,8 @@
     g_string_append_printf (
         script->out, "%s\n",
         tou_proxy_has_work (script->gateway_proxy) ? "in progress" : "none");
+  else if (strcmp (words[0], "queue-limit") == 0)
+    run_queue_limit (script, words);
   else if (strcmp (words[0], "gateway-txn-idle") == 0)
     run_gateway_txn_idle (script, words);
   else if (strcmp (words[0], "gateway-lost") == 0)
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -11,6 +11,7 @@
  *     route DATABASE primary|bounded|session
  *     gateway-txn-idle MS           idle time of transactions on the gateway
  *     record REVISION TERM PRIMARY steady|moving
+ *     queue-limit N                 writes that the node queues per rank
  *     open CLIENT DATABASE          opens a session and waits for READY
  *     query CLIENT TEXT             sends a statement and waits for READY
  *     send CLIENT TEXT              sends a statement
--- a/tests/test-queue.c
+++ b/tests/test-queue.c
@@ -1,4 +1,5 @@
-/* Guards against ranks that do not get their share of a database, and requests
+/* Guards against ranks and teams that do not get their share of a database, and
+ * requests
  * that are queued although they cannot meet their deadline. */
 #include <setjmp.h>
 #include <stdarg.h>
