--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -120,7 +120,8 @@
   if (selection.urgent_only && !tou_endpoint_has_room (endpoint, TRUE, now_us))
     return NULL;
   item = tou_queue_pop_matching (queue, &selection);
-  if (selection.blocked != NULL)
+  /* With an item, the link to evict might be the one that it needs. */
+  if (item == NULL && selection.blocked != NULL)
     tou_endpoint_request_link (endpoint, selection.blocked->flow, now_us);
   return item;
 }
@@ -152,8 +153,7 @@
 
   for (guint i = 0; i < reads->group->endpoints->len; i++)
     {
-      const TouEndpoint *endpoint
-          = g_ptr_array_index (reads->group->endpoints, i);
+      TouEndpoint *endpoint = g_ptr_array_index (reads->group->endpoints, i);
 
       if (tou_endpoint_is_usable (endpoint)
           && tou_endpoint_has_room (endpoint, reads->urgent, reads->now_us)
@@ -183,7 +183,8 @@
                                   .data = &reads };
   TouQueueItem *item = tou_queue_pop_matching (group->reads, &selection);
 
-  if (selection.blocked != NULL && best != NULL && dispatch_by_team (group))
+  if (item == NULL && selection.blocked != NULL && best != NULL
+      && dispatch_by_team (group))
     tou_endpoint_request_link (best, selection.blocked->flow, now_us);
   return item;
 }
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -61,6 +61,8 @@
   X (RELAY_REFUSED, "relay_refused_total", "statements of nodes not run")      \
   X (RELAY_SESSIONS, "relay_sessions_total", "sessions of other nodes")        \
   X (GATEWAYS_AVOIDED, "gateways_avoided_total", "gateways that failed")       \
+  X (PACES, "paces_total", "times that the pace of a database began")          \
+  X (PACE_HELD, "pace_held_total", "statements held back by a pace")           \
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
@@ -69,7 +71,11 @@
   X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
   X (PEER_BYTES, "peer_bytes_total", "bytes sent to other nodes")              \
   X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
-  X (HANDOVERS, "handovers_total", "changes of primary run by this node")
+  X (HANDOVERS, "handovers_total", "changes of primary run by this node")      \
+  X (QUOTA_GRANTED, "quota_granted_total", "operations given credit")          \
+  X (QUOTA_REFUSED, "quota_refused_total", "operations without credit")        \
+  X (QUOTA_REQUESTS, "quota_requests_total", "requests sent to issuers")       \
+  X (QUOTA_ANSWERED, "quota_answered_total", "requests answered as issuer")
 
 typedef enum
 {
