Ignore status queries in the pace; describe the pace

Cause: a gateway measured the status queries of other nodes as answers, so that a database which answers only these reached its full window at once. The pace was not described.

Change: statements without an id are ignored.

--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -242,6 +242,16 @@
   g_free (range);
 }
 
+/* toucansessiond parses the platform's settings file itself, in platform/. */
+static const char *const settings_session_doc
+    = "\n## Settings of toucansessiond\n\n"
+      "Optional lines of the settings file that the platform writes.\n\n"
+      "| name | permitted | default | meaning |\n"
+      "|---|---|---|---|\n"
+      "| `pace.enabled` | true or false | true if `contracts`, a "
+      "comma-separated list, has `pool`; else false | pace of databases that "
+      "have started or recovered, see `docs/design/pace.md` |\n";
+
 void
 tou_settings_format_doc (TouStr *out)
 {
@@ -256,6 +266,7 @@
 
   for (guint i = 0; i < tou_settings_count; i++)
     format_row (text, &tou_settings_table[i]);
+  g_string_append (text, settings_session_doc);
   out->len = text->len;
   out->data = g_string_free (text, FALSE);
 }
--- a/src/session/pacing.c
+++ b/src/session/pacing.c
@@ -151,7 +151,10 @@
   TouPace *pace = &endpoint->pace;
   TouPaceAnswer answer = { 0 };
 
-  if (!pacing_applies (endpoint) || !pacing_outcome (&answer.outcome, result))
+  /* Status queries of other nodes use no slot: a database may answer them while
+     it fails all statements. */
+  if (!pacing_applies (endpoint) || task->id == NULL
+      || !pacing_outcome (&answer.outcome, result))
     return;
   /* A BEGIN that was refused: the statement itself was not sent. */
   answer.sent_us = task->sent_us != 0 ? task->sent_us : now_us;
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -291,26 +291,32 @@
 
   info.started_ms = strtoull (words[2], NULL, 10);
   tou_endpoint_update (endpoint, &info);
+  if (script->gateway_proxy != NULL)
+    tou_endpoint_update (
+        g_hash_table_lookup (script->gateway_proxy->endpoints, &id), &info);
 }
 
-/* Turns the pace on, or prints that of a database. */
+/* Sets the pace of both nodes, or prints that of a database: the gateway's if
+   there is one. */
 static void
 run_pace (Script *script, char **words)
 {
   TouName id = tou_name (words[1]);
-  const TouEndpoint *endpoint
-      = g_hash_table_lookup (script->proxy->endpoints, &id);
+  TouProxy *proxy
+      = script->gateway_proxy != NULL ? script->gateway_proxy : script->proxy;
+  const TouEndpoint *endpoint = g_hash_table_lookup (proxy->endpoints, &id);
 
   if (endpoint == NULL)
-    script->proxy->settings.pace_enabled = strcmp (words[1], "on") == 0;
+    proxy->settings.pace_enabled = script->proxy->settings.pace_enabled
+        = strcmp (words[1], "on") == 0;
   else if (endpoint->pace.active)
     g_string_append_printf (script->out, "limit %u, %s\n",
                             (guint)endpoint->pace.limit,
                             tou_pace_reason_name (endpoint->pace.reason));
   else
-    g_string_append_printf (
-        script->out, "not paced, held back %s\n",
-        script->proxy->counters[TOU_COUNT_PACE_HELD] > 0 ? "some" : "none");
+    g_string_append_printf (script->out, "not paced, held back %s\n",
+                            proxy->counters[TOU_COUNT_PACE_HELD] > 0 ? "some"
+                                                                     : "none");
 }
 
 /* Prints whether more links than given were opened through the gateway. */
