Hold statements while another try would do no better

Clients were told "no primary; retry after 1000 ms", "this node is cut off" or "primary is not reachable" as soon as the cause had lasted for a fixed time. Statements that arrived later were refused at once, so a client used up its three tries within a second of a change or partition that lasts several seconds.

tou_refusal_decide() decides for each statement, from the cause, the time since it applies and the time the statement has left. A statement waits for a change of primary unless it ends before the change can be expected to; then it is refused with the expected time. It is sent to another node after a second here, or at once if this node hears no other one. Counters refused_later_total and refused_elsewhere_total are new.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -205,16 +205,15 @@
   guint64 now_us = tou_clock_us ();
   guint64 retry_us = 0;
   char reason[CLIENT_TEXT_MAX];
-  const char *refusal;
   int status;
 
   if (!request->needs_primary && !client_set_required_pos (client, group))
     request->needs_primary = TRUE;
-  refusal = request->needs_primary ? tou_group_refusal_reason (group, now_us)
-                                   : NULL;
-  if (refusal != NULL)
+  if (request->needs_primary
+      && tou_group_refuses (group, request->arrived_us, request->deadline_us,
+                            now_us, reason))
     {
-      client_fail (client, TOU_SQL_E_BUSY, refusal, NULL);
+      client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
       return;
     }
   memset (&request->item, 0, sizeof request->item);
@@ -230,6 +229,30 @@
   client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
 }
 
+void
+tou_client_refuse_waiting (TouGroup *group, guint64 now_us)
+{
+  char reason[TOU_REFUSAL_TEXT_MAX];
+  GList *next;
+
+  for (GList *list_node = group->proxy->clients.head; list_node != NULL;
+       list_node = next)
+    {
+      TouClient *client = list_node->data;
+      TouClientRequest *request = &client->request;
+
+      /* Closing a client removes it from the list. */
+      next = list_node->next;
+      if (!request->item.queued || !request->needs_primary
+          || !tou_name_equal (&client->route.group, &group->name)
+          || !tou_group_refuses (group, request->arrived_us,
+                                 request->deadline_us, now_us, reason))
+        continue;
+      tou_queue_remove (group->writes, &request->item);
+      tou_client_refuse_request (client, TOU_SQL_E_BUSY, reason);
+    }
+}
+
 void
 tou_client_requeue_request (TouClient *client)
 {
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -64,6 +64,12 @@
 void tou_client_refuse_request (TouClient *client, TouSqlError code,
                                 const char *reason);
 
+/**
+ * Refuses the queued statements of @a group that require the primary and are
+ * not to wait for it; see tou_group_refuses().
+ */
+void tou_client_refuse_waiting (TouGroup *group, guint64 now_us);
+
 /** Puts a read, or a statement that was not run, back into its queue. */
 void tou_client_requeue_request (TouClient *client);
 
--- a/src/session/dispatch.c
+++ b/src/session/dispatch.c
@@ -215,12 +215,6 @@
                                reason);
 }
 
-void
-tou_dispatch_refuse_writes (TouGroup *group, const char *reason)
-{
-  dispatch_refuse_queue (group->writes, reason);
-}
-
 void
 tou_dispatch_refuse_all (TouGroup *group, const char *reason)
 {
--- a/src/session/dispatch.h
+++ b/src/session/dispatch.h
@@ -23,8 +23,6 @@
 /** Refuses statements whose deadline has passed. */
 void tou_dispatch_expire (TouGroup *group, guint64 now_us);
 
-/** Refuses all statements that are queued for the primary. */
-void tou_dispatch_refuse_writes (TouGroup *group, const char *reason);
 /** Refuses all queued statements. */
 void tou_dispatch_refuse_all (TouGroup *group, const char *reason);
 
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -57,6 +57,7 @@
                endpoint->info.id.data,
                (now_us - endpoint->unreachable_since_us) / TOU_US_PER_MS);
   endpoint->unreachable_since_us = 0;
+  endpoint->gateway_refused_us = 0;
   endpoint->last_received_us = now_us;
 }
 
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -371,6 +371,7 @@
         pause_us = LINK_REJECTED_PAUSE_US;
       tou_endpoint_set_unreachable (endpoint, "not reachable from its gateway",
                                     now_us);
+      endpoint->gateway_refused_us = now_us;
       tou_endpoint_avoid_gateway (endpoint, &link->gateway_node,
                                   "database is lost", now_us);
     }
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -96,6 +96,8 @@
   guint64 open_after_us;      /**< no new link before this time */
   gboolean lost_log; /**< a primary that restarted or lost part of its log */
   guint64 unreachable_since_us; /**< 0: reachable */
+  guint64 gateway_refused_us;   /**< a gateway last said that it does not reach
+                                   the database; 0: reached since */
   TouLogPos newest_pos;         /**< newest log position that it has reported */
   TouLogPos lagging_pos;        /**< position that it answered LAGGING for */
   guint64 lagging_until_us;
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -756,7 +756,7 @@
 
 /* Updates @a peer. @return FALSE if the message is to be ignored */
 static gboolean
-peer_on_header (Peer *peer, const PeerHeader *header)
+peer_on_header (TouPeers *peers, Peer *peer, const PeerHeader *header)
 {
   if (header->incarnation < peer->incarnation)
     return FALSE;
@@ -764,6 +764,7 @@
     peer_reset (peer);
   peer->incarnation = header->incarnation;
   peer->last_heartbeat_us = tou_clock_us ();
+  peers->proxy->node_heard_us = peer->last_heartbeat_us;
   /* Datagrams may arrive out of order. */
   if (header->sent_us < peer->echo_us)
     return FALSE;
@@ -812,7 +813,7 @@
   groups = &fields[12];
   peer = g_hash_table_lookup (peers->nodes, &header.node);
   /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
-  if (peer == NULL || !peer_on_header (peer, &header))
+  if (peer == NULL || !peer_on_header (peers, peer, &header))
     return TRUE;
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
   if (!peers_on_panel (peers, &fields[10])
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -2,6 +2,7 @@
 
 #include "client.h"
 #include "dispatch.h"
+#include "refusal.h"
 #include "relay.h"
 #include "stream.h"
 
@@ -38,13 +39,12 @@
 /* The target latency of a statement is the strictest latency objective divided
    by this: an operation has several statements and round trips. */
 #define PROXY_TARGET_SHARE 8
-/* Statements that require the primary are refused at once if none has been
-   usable for this long: a change of primary takes about 2 s. */
-#define PROXY_NO_PRIMARY_US (2500 * TOU_US_PER_MS)
-/* A primary that half of the nodes cannot reach is replaced in this time. */
-#define PROXY_SUSPECT_US (700 * TOU_US_PER_MS)
-/* Time to receive the proofs of a new record: two heartbeats and a lost one. */
-#define PROXY_PROOF_US (400 * TOU_US_PER_MS)
+/* A gateway's answer that it does not reach the primary holds for this long:
+   gateways are asked again within it. */
+#define PROXY_LOST_US (2 * TOU_US_PER_S)
+/* Without a message of another node for this long, none is heard: two intervals
+   of heartbeats with a panel. */
+#define PROXY_UNHEARD_US (900 * TOU_US_PER_MS)
 /* A node that is isolated for this long reports itself as not ready. */
 #define PROXY_ISOLATED_US (200 * TOU_US_PER_MS)
 /* Interval between log lines with a group's load. */
@@ -202,6 +202,8 @@
                      + TOU_AUTHORITY_VALID_US;
   if (!tou_authority_adopt (group->authority, record))
     return;
+  if (record->moving && (group->moving_since_us == 0 || was_usable))
+    group->moving_since_us = now_us;
   if (was_usable)
     {
       group->old_primary = old_primary;
@@ -223,31 +225,76 @@
              record->candidate.data, source);
 }
 
-const char *
-tou_group_refusal_reason (TouGroup *group, guint64 now_us)
+/* TRUE if no message of another node has arrived lately. */
+static gboolean
+proxy_hears_no_node (const TouProxy *proxy, guint64 now_us)
+{
+  return proxy->n_nodes > 1 && proxy->node_heard_us != 0
+         && now_us >= proxy->node_heard_us + PROXY_UNHEARD_US;
+}
+
+static TouRefusalCause
+group_refusal_cause (TouGroup *group, guint64 now_us, guint64 *since_us)
 {
   const TouGroupRecord *record = tou_authority_record (group->authority);
+  const TouEndpoint *primary = tou_group_recorded_primary (group);
+
+  *since_us = MAX (group->no_primary_since_us, group->adopted_us);
+  if (record->moving)
+    *since_us = group->moving_since_us;
+  if (record->revision == 0 || record->moving || primary == NULL
+      || tou_endpoint_has_left (primary, now_us))
+    return TOU_REFUSAL_CHANGING;
+  if (!tou_proxy_has_proof (group->proxy, group, now_us))
+    return TOU_REFUSAL_UNPROVED;
+  *since_us = MAX (*since_us, primary->unreachable_since_us);
+  return primary->gateway_refused_us != 0
+                 && now_us < primary->gateway_refused_us + PROXY_LOST_US
+             ? TOU_REFUSAL_LOST
+             : TOU_REFUSAL_UNREACHABLE;
+}
+
+gboolean
+tou_group_refuses (TouGroup *group, guint64 arrived_us, guint64 deadline_us,
+                   guint64 now_us, char reason[TOU_REFUSAL_TEXT_MAX])
+{
+  TouRefusalInput input = { 0 };
+  TouRefusalVerdict verdict;
   const TouEndpoint *primary;
+  guint64 since_us;
 
   if (group->no_primary_since_us == 0)
-    return NULL;
-  if (now_us >= group->no_primary_since_us + PROXY_NO_PRIMARY_US)
-    return "no primary; retry after 1000 ms";
-  if (record->revision == 0 || record->moving)
-    return NULL;
-  /* The first proofs of a record arrive with the next heartbeats. */
-  if (now_us
-      < MAX (group->no_primary_since_us, group->adopted_us) + PROXY_PROOF_US)
-    return NULL;
-  if (!tou_proxy_has_proof (group->proxy, group, now_us))
-    return "this node is cut off; retry at another one";
-  primary = tou_group_recorded_primary (group);
-  if (primary != NULL && tou_endpoint_has_failed (primary)
-      && now_us
-             >= MAX (primary->unreachable_since_us, group->no_primary_since_us)
-                    + PROXY_SUSPECT_US)
-    return "primary is not reachable from this node; retry at another one";
-  return NULL;
+    return FALSE;
+  primary = tou_group_primary (group, now_us);
+  if (primary != NULL && !tou_endpoint_has_failed (primary))
+    return FALSE;
+  input.cause = group_refusal_cause (group, now_us, &since_us);
+  input.cause_us = now_us - MIN (since_us, now_us);
+  input.waited_us = now_us - MIN (arrived_us, now_us);
+  input.left_us = deadline_us - MIN (now_us, deadline_us);
+  input.isolated = proxy_hears_no_node (group->proxy, now_us);
+  verdict = tou_refusal_decide (&input);
+  switch (verdict.kind)
+    {
+    case TOU_REFUSAL_WAIT:
+      return FALSE;
+    case TOU_REFUSAL_LATER:
+      TOU_COUNT (group->proxy, REFUSED_LATER);
+      g_snprintf (reason, TOU_REFUSAL_TEXT_MAX,
+                  "no primary; retry after %" G_GUINT64_FORMAT " ms",
+                  verdict.as.retry_us / TOU_US_PER_MS);
+      return TRUE;
+    case TOU_REFUSAL_ELSEWHERE:
+      TOU_COUNT (group->proxy, REFUSED_ELSEWHERE);
+      g_strlcpy (reason,
+                 input.isolated || input.cause == TOU_REFUSAL_UNPROVED
+                     ? "this node is cut off; retry at another one"
+                     : "primary is not reachable from this node; retry at "
+                       "another one",
+                 TOU_REFUSAL_TEXT_MAX);
+      return TRUE;
+    }
+  return FALSE;
 }
 
 void
@@ -477,7 +524,6 @@
 {
   TouEndpoint *primary = tou_group_primary (group, now_us);
   gboolean usable = primary != NULL && !tou_endpoint_has_failed (primary);
-  const char *refusal;
 
   if (usable)
     group_refresh_position (group, primary, now_us);
@@ -497,9 +543,8 @@
     }
   tou_dispatch_group (group);
   tou_dispatch_expire (group, now_us);
-  refusal = tou_group_refusal_reason (group, now_us);
-  if (refusal != NULL)
-    tou_dispatch_refuse_writes (group, refusal);
+  if (group->no_primary_since_us != 0)
+    tou_client_refuse_waiting (group, now_us);
   group_log_load (group, now_us);
 }
 
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -24,6 +24,9 @@
 /** Text of refusals by a node that is being stopped. */
 #define TOU_PROXY_STOPPING_REASON "this node is stopping; retry at another one"
 
+/** Maximum length of the text of a refusal, with its final zero byte. */
+#define TOU_REFUSAL_TEXT_MAX 80
+
 typedef struct TouProxy TouProxy;
 typedef struct TouGroup TouGroup;
 typedef struct TouEndpoint TouEndpoint;
@@ -41,6 +44,9 @@
   X (STATEMENTS, "statements_total", "statements taken from callers")          \
   X (SERVED, "served_total", "statements answered with a database's proof")    \
   X (REFUSED, "refused_total", "statements refused, not run")                  \
+  X (REFUSED_LATER, "refused_later_total",                                     \
+     "refused until a primary is usable")                                      \
+  X (REFUSED_ELSEWHERE, "refused_elsewhere_total", "sent to another node")     \
   X (IN_DOUBT, "in_doubt_total", "statements whose outcome is unknown")        \
   X (RETRIED, "retried_total", "statements moved to another database")         \
   X (REPLICA, "replica_total", "statements run on a replica")                  \
@@ -102,6 +108,7 @@
   guint64 store_followed_us;  /**< when a list or watch last succeeded */
   guint64 isolated_since_us;  /**< since when no primary is valid; 0: one is */
   guint64 store_answered_us;  /**< last response of the store */
+  guint64 node_heard_us;      /**< last message of another node; 0: none */
   gboolean synced;            /**< the store has been read since the start */
   gboolean draining;          /**< the stop signal has been received */
   gboolean deregistered;      /**< its registration is being removed */
@@ -133,6 +140,7 @@
   TouName old_primary;         /**< previous primary, during a change */
   guint64 adopted_us;          /**< when the record was adopted */
   guint64 finish_until_us;     /**< limit for transactions on old_primary */
+  guint64 moving_since_us;     /**< start of the last change of primary */
   guint64 no_primary_since_us; /**< since when none is usable; 0: one is */
 };
 
@@ -156,10 +164,15 @@
 TouEndpoint *tou_group_primary (TouGroup *group, guint64 now_us);
 
 /**
- * Returns the reason to refuse statements that require the primary, or NULL if
- * a primary is usable or expected soon. Clients retry at other nodes.
+ * TRUE if a statement that requires the primary is refused now; FALSE if a
+ * primary is usable or the statement waits for one. See refusal.h.
+ *
+ * @param arrived_us when this node received the statement
+ * @param reason set to the text of the refusal
  */
-const char *tou_group_refusal_reason (TouGroup *group, guint64 now_us);
+gboolean tou_group_refuses (TouGroup *group, guint64 arrived_us,
+                            guint64 deadline_us, guint64 now_us,
+                            char reason[TOU_REFUSAL_TEXT_MAX]);
 
 /** Returns the primary named by the group's record, or NULL. */
 TouEndpoint *tou_group_recorded_primary (TouGroup *group);
