Route a gateway's statements around its own lost path

A gateway that lost its path to a database in one or both directions had no way round, because it is its own gateway: its clients were refused until the path was back. Other nodes tried one other gateway only, then paused for a second, and a statement that its gateway could not run was refused to the client.

A gateway that does not reach the database refuses with the name of the one that it uses itself; the other nodes prefer that one. They try all gateways, then two nodes that stand in with the reserved connections, before they pause for a second. A statement refused for this reason runs through the next gateway. Deployments without gateways are not affected.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -353,7 +353,10 @@
       client_wait_for_replica (client, endpoint);
       return;
     }
-  if (result->error == TOU_SQL_E_BUSY)
+  /* The search for a gateway that reaches the database is not an attempt. */
+  if (result->unreachable)
+    request->attempts--;
+  else if (result->error == TOU_SQL_E_BUSY)
     tou_window_refused (&endpoint->window, tou_clock_us ());
   else if (result->error == TOU_SQL_E_FAILED)
     tou_endpoint_add_latency (endpoint, CLIENT_FAILURE_COST_US,
@@ -362,7 +365,7 @@
      refused it as busy, it was already queued there for the primary for as long
      as waiting was useful. */
   if (!(result->error == TOU_SQL_E_BUSY && endpoint->gateway.len > 0
-        && request->needs_primary)
+        && request->needs_primary && !result->unreachable)
       && client->state == TOU_SQL_STATE_IDLE
       && (not_run || !request->task.may_commit)
       && client_retry (client, endpoint))
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -1,5 +1,6 @@
 #include "link-private.h"
 
+#include "direct.h"
 #include "dispatch.h"
 #include "gateway.h"
 #include "relay.h"
@@ -58,6 +59,7 @@
                (now_us - endpoint->unreachable_since_us) / TOU_US_PER_MS);
   endpoint->unreachable_since_us = 0;
   endpoint->gateway_refused_us = 0;
+  endpoint->n_refused = 0;
   endpoint->last_received_us = now_us;
 }
 
@@ -96,13 +98,17 @@
                             const char *reason, guint64 now_us)
 {
   TouProxy *proxy = endpoint->proxy;
-  TouAvoidedGateway *avoided
-      = &endpoint->avoided[endpoint->n_avoided++ % TOU_MAX_AVOIDED];
+  TouAvoidedGateway *avoided = NULL;
 
   TOU_COUNT (proxy, GATEWAYS_AVOIDED);
   tou_evlog (TOU_EVLOG_STATE, "gateway_avoided",
              "\"gateway\":\"%s\",\"endpoint\":\"%s\",\"reason\":\"%s\"",
              gateway_node->data, endpoint->info.id.data, reason);
+  for (guint i = 0; i < TOU_MAX_AVOIDED && avoided == NULL; i++)
+    if (tou_name_equal (&endpoint->avoided[i].node, gateway_node))
+      avoided = &endpoint->avoided[i];
+  if (avoided == NULL)
+    avoided = &endpoint->avoided[endpoint->n_avoided++ % TOU_MAX_AVOIDED];
   avoided->node = *gateway_node;
   avoided->until_us = now_us + ENDPOINT_AVOID_US;
   proxy->placement_due = TRUE;
@@ -191,6 +197,8 @@
 
   if (endpoint->gateway.len > 0)
     return ENDPOINT_GATEWAY_LINKS;
+  if (tou_direct_stands_in (endpoint, tou_clock_us ()))
+    return tou_gateway_stand_in_share (limit);
   if (endpoint->n_gateways > 0)
     return tou_gateway_share (limit, endpoint->n_gateways);
   /* Half of the database's connections, because load is distributed unevenly
@@ -266,7 +274,10 @@
 gboolean
 tou_endpoint_is_suspect (const TouEndpoint *endpoint)
 {
-  return endpoint->gateway.len == 0 && tou_endpoint_has_failed (endpoint);
+  if (endpoint->direct_failed_us != 0)
+    return endpoint->is_gateway;
+  return endpoint->gateway.len == 0 && endpoint->standin_until_us == 0
+         && tou_endpoint_has_failed (endpoint);
 }
 
 gboolean
@@ -333,17 +344,23 @@
           continue;
         }
       reason = tou_link_timeout_reason (link, now_us);
-      if (!tou_link_is_idle (link))
+      if (!tou_link_is_idle (link)
+          && tou_name_equal (&link->gateway_node, &endpoint->gateway))
         oldest_us = MIN (oldest_us, link->pin != NULL && link->task == NULL
                                         ? G_MAXUINT64
                                         : link->since_us);
       if (reason != NULL)
         {
           if (link->state != LINK_READY && link->gateway_node.len > 0)
-            tou_endpoint_avoid_gateway (endpoint, &link->gateway_node, reason,
-                                        now_us);
+            {
+              tou_endpoint_avoid_gateway (endpoint, &link->gateway_node, reason,
+                                          now_us);
+              /* Another gateway is selected with the next tick. */
+              endpoint->open_after_us
+                  = MIN (endpoint->open_after_us, now_us + TOU_PROXY_TICK_US);
+            }
           else if (link->state != LINK_READY)
-            tou_endpoint_set_unreachable (endpoint, reason, now_us);
+            tou_direct_fail (endpoint, reason, now_us);
           tou_link_close (link, reason);
         }
       else if (tou_link_is_idle (link)
@@ -359,9 +376,13 @@
       if (endpoint->unreachable_since_us == 0 && endpoint->gateway.len > 0)
         tou_endpoint_avoid_gateway (endpoint, &endpoint->gateway,
                                     "statement without answer", now_us);
-      tou_endpoint_set_unreachable (endpoint, "statement without answer",
-                                    now_us);
+      if (endpoint->gateway.len > 0)
+        tou_endpoint_set_unreachable (endpoint, "statement without answer",
+                                      now_us);
+      else
+        tou_direct_fail (endpoint, "statement without answer", now_us);
     }
+  tou_direct_tick (endpoint, now_us);
   if (endpoint->unreachable_since_us != 0 && now_us >= endpoint->open_after_us)
     {
       endpoint->open_after_us
@@ -505,6 +526,7 @@
   endpoint->status_us = 0;
   endpoint->open_after_us = 0;
   endpoint->unreachable_since_us = 0;
+  tou_direct_answer (endpoint, tou_clock_us ());
   endpoint_close_links (endpoint, "database started anew");
 }
 
--- a/src/session/gateway.c
+++ b/src/session/gateway.c
@@ -15,6 +15,10 @@
    gateway, whose connections the database counts for 3 s. */
 #define GATEWAY_RESERVE_SHIFT 3
 
+/* Number of nodes at a time that stand in for gateways that are all avoided.
+   They share the reserved connections. */
+#define GATEWAY_STAND_INS 2
+
 #define GATEWAY_HASH_START G_GUINT64_CONSTANT (14695981039346656037)
 #define GATEWAY_HASH_FACTOR G_GUINT64_CONSTANT (1099511628211)
 
@@ -41,6 +45,14 @@
   return MAX (shared / MAX (n_gateways, 1), 1);
 }
 
+guint
+tou_gateway_stand_in_share (guint connection_limit)
+{
+  guint reserved = connection_limit >> GATEWAY_RESERVE_SHIFT;
+
+  return MAX (reserved / GATEWAY_STAND_INS, 1);
+}
+
 /* FNV-1a over both names. */
 static guint64
 gateway_hash (const TouName *a, const TouName *b)
@@ -67,7 +79,9 @@
   /* A sum does not depend on the order of the nodes. */
   for (guint i = 0; i < n_nodes; i++)
     {
-      TouName state = { 1, { (char)(nodes[i].alive + 2 * nodes[i].avoided) } };
+      TouName state = {
+        1, { (char)(nodes[i].alive + 2 * nodes[i].avoided + 4 * nodes[i].cut) }
+      };
 
       inputs += gateway_hash (&nodes[i].node, &state);
     }
@@ -106,17 +120,14 @@
   return n_best + 1;
 }
 
-guint
-tou_gateway_choose (const TouGatewayNode *nodes, guint n_nodes, guint self,
-                    const TouName *endpoint, const TouName *failure_domain,
-                    guint *n_gateways)
+/* Ranks the gateways of an endpoint. @return their number */
+static guint
+gateway_rank_all (GatewayRank *best, guint n_max, const TouGatewayNode *nodes,
+                  guint n_nodes, guint self, const TouName *endpoint,
+                  const TouName *failure_domain)
 {
-  GatewayRank *best = g_new (GatewayRank, *n_gateways);
   guint n_best = 0;
   guint n_local = 0;
-  guint chosen = self;
-  guint64 chosen_hash = 0;
-  gboolean self_is_gateway = FALSE;
 
   for (guint i = 0; i < n_nodes; i++)
     {
@@ -126,29 +137,108 @@
         continue;
       rank.local = tou_name_equal (&nodes[i].failure_domain, failure_domain);
       rank.hash = gateway_hash (endpoint, &nodes[i].node);
-      n_best = gateway_insert (best, n_best, *n_gateways, &rank);
+      n_best = gateway_insert (best, n_best, n_max, &rank);
     }
   while (n_local < n_best && best[n_local].local)
     n_local++;
   /* Statements through remote gateways cross failure domains twice. */
-  if (n_local >= GATEWAY_MIN_COUNT)
-    n_best = n_local;
-  *n_gateways = n_best;
+  return n_local >= GATEWAY_MIN_COUNT ? n_local : n_best;
+}
+
+static gboolean
+gateway_is_ranked (const GatewayRank *best, guint n_best, guint node)
+{
+  for (guint i = 0; i < n_best; i++)
+    if (best[i].index == node)
+      return TRUE;
+  return FALSE;
+}
+
+/* Distributes the nodes over the gateways by a second hash. @return the
+   gateway, or @a self if there is no other one */
+static guint
+gateway_select (const GatewayRank *best, guint n_best,
+                const TouGatewayNode *nodes, guint self, gboolean avoided)
+{
+  guint chosen = self;
+  guint64 chosen_hash = 0;
+
   for (guint i = 0; i < n_best; i++)
-    self_is_gateway = self_is_gateway || best[i].index == self;
-  for (guint i = 0; i < n_best && !self_is_gateway; i++)
     {
-      const TouGatewayNode *node = &nodes[best[i].index];
-      guint64 hash = gateway_hash (&nodes[self].node, &node->node) >> 1;
+      guint64 hash
+          = gateway_hash (&nodes[self].node, &nodes[best[i].index].node);
 
-      /* An avoided gateway is used only if all are avoided. */
-      if (!node->avoided)
-        hash |= G_GUINT64_CONSTANT (1) << 63;
-      if (chosen != self && hash <= chosen_hash)
+      if (best[i].index == self || nodes[best[i].index].avoided != avoided
+          || (chosen != self && hash <= chosen_hash))
         continue;
       chosen = best[i].index;
       chosen_hash = hash;
     }
+  return chosen;
+}
+
+/* Selects a node that is not a gateway, or returns @a n_nodes. The failure
+   domain does not count here: it may be the one that is cut off. */
+static guint
+gateway_stand_in (const GatewayRank *best, guint n_best,
+                  const TouGatewayNode *nodes, guint n_nodes, guint self,
+                  const TouName *endpoint)
+{
+  GatewayRank others[GATEWAY_STAND_INS];
+  guint n_others = 0;
+
+  for (guint i = 0; i < n_nodes; i++)
+    {
+      GatewayRank rank = { i, FALSE, 0 };
+
+      if ((!nodes[i].alive && i != self) || nodes[i].avoided || nodes[i].cut
+          || gateway_is_ranked (best, n_best, i))
+        continue;
+      rank.hash = gateway_hash (endpoint, &nodes[i].node);
+      n_others = gateway_insert (others, n_others, GATEWAY_STAND_INS, &rank);
+    }
+  if (n_others == 0)
+    return n_nodes;
+  return gateway_is_ranked (others, n_others, self)
+             ? self
+             : gateway_select (others, n_others, nodes, self, FALSE);
+}
+
+guint
+tou_gateway_choose (const TouGatewayNode *nodes, guint n_nodes, guint self,
+                    const TouName *endpoint, const TouName *failure_domain,
+                    guint *n_gateways)
+{
+  GatewayRank *best = g_new (GatewayRank, *n_gateways);
+  guint n_best = gateway_rank_all (best, *n_gateways, nodes, n_nodes, self,
+                                   endpoint, failure_domain);
+  guint chosen = self;
+
+  *n_gateways = n_best;
+  if (nodes[self].cut || !gateway_is_ranked (best, n_best, self))
+    {
+      chosen = gateway_select (best, n_best, nodes, self, FALSE);
+      if (chosen == self)
+        chosen
+            = gateway_stand_in (best, n_best, nodes, n_nodes, self, endpoint);
+      /* An avoided gateway is used only if there is no other node. */
+      if (chosen == n_nodes)
+        chosen = gateway_select (best, n_best, nodes, self, TRUE);
+    }
   g_free (best);
   return chosen;
 }
+
+gboolean
+tou_gateway_contains (const TouGatewayNode *nodes, guint n_nodes, guint self,
+                      guint node, const TouName *endpoint,
+                      const TouName *failure_domain, guint n_gateways)
+{
+  GatewayRank *best = g_new (GatewayRank, MAX (n_gateways, 1));
+  guint n_best = gateway_rank_all (best, n_gateways, nodes, n_nodes, self,
+                                   endpoint, failure_domain);
+  gboolean found = gateway_is_ranked (best, n_best, node);
+
+  g_free (best);
+  return found;
+}
--- a/src/session/gateway.h
+++ b/src/session/gateway.h
@@ -22,6 +22,7 @@
   gboolean alive;   /**< recent heartbeat; always TRUE for this node */
   gboolean avoided; /**< statements through it failed recently */
   gboolean expired; /**< no heartbeat for 3 s; sessions relayed for it end */
+  gboolean cut;     /**< only of this node: its direct path has failed */
 } TouGatewayNode;
 
 /**
@@ -36,6 +37,12 @@
 /** Returns the maximum number of connections of one gateway. */
 guint tou_gateway_share (guint connection_limit, guint n_gateways);
 
+/**
+ * Returns the maximum number of connections of a node that stands in for
+ * gateways that do not reach the database.
+ */
+guint tou_gateway_stand_in_share (guint connection_limit);
+
 /**
  * Returns a hash of what tou_gateway_choose() depends on besides the endpoint;
  * with equal hashes it selects the same gateway.
@@ -43,7 +50,8 @@
 guint64 tou_gateway_inputs (const TouGatewayNode *nodes, guint n_nodes);
 
 /**
- * Selects the node through which @a self reaches an endpoint.
+ * Selects the node through which @a self reaches an endpoint. If all gateways
+ * are avoided, it is one of the next two nodes in the order of their hashes.
  *
  * @param endpoint id of the endpoint
  * @param failure_domain of the endpoint; nodes in it are preferred
@@ -54,4 +62,11 @@
                           guint self, const TouName *endpoint,
                           const TouName *failure_domain, guint *n_gateways);
 
+/**
+ * TRUE if @a node is one of the gateways; parameters as above.
+ */
+gboolean tou_gateway_contains (const TouGatewayNode *nodes, guint n_nodes,
+                               guint self, guint node, const TouName *endpoint,
+                               const TouName *failure_domain, guint n_gateways);
+
 G_END_DECLS
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -49,12 +49,15 @@
   gsize row_start;
   gsize row_len;
   gboolean complete;
-  gboolean answered; /* COMPLETE or ERROR was received */
+  gboolean unreachable; /* the gateway does not reach the database */
+  gboolean answered;    /* COMPLETE or ERROR was received */
   TouSqlError error;
 };
 
 /** Opens a link and adds it to the endpoint's links. */
 void tou_link_open (TouEndpoint *endpoint, guint64 now_us);
+/** The same, not through the endpoint's gateway. */
+void tou_link_open_direct (TouEndpoint *endpoint, guint64 now_us);
 
 /**
  * TRUE if its gateway has neither answered a statement nor reported it in
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -1,5 +1,6 @@
 #include "link-private.h"
 
+#include "direct.h"
 #include "dispatch.h"
 #include "relay.h"
 #include "stream.h"
@@ -58,6 +59,7 @@
   link->row_len = 0;
   link->answered = FALSE;
   link->complete = FALSE;
+  link->unreachable = FALSE;
 }
 
 /* Ends the task; its callback may run another task on the link. */
@@ -73,6 +75,7 @@
   link->endpoint->n_busy--;
   link->since_us = tou_clock_us ();
   result.outcome = outcome;
+  result.unreachable = link->unreachable;
   result.complete = link->complete;
   result.error = link->error;
   result.lines = lines;
@@ -328,6 +331,8 @@
       link->state = LINK_READY;
       link->since_us = tou_clock_us ();
       tou_endpoint_set_reachable (endpoint, link->since_us);
+      if (link->gateway_node.len == 0)
+        tou_direct_answer (endpoint, link->since_us);
       tou_dispatch_group (endpoint->group);
       return;
     }
@@ -357,23 +362,29 @@
   if (link->gateway_node.len == 0)
     {
       if (reply->error == TOU_SQL_E_MOVED)
-        tou_endpoint_set_unreachable (
-            endpoint, "another database is at its address", now_us);
+        tou_direct_fail (endpoint, "another database is at its address",
+                         now_us);
       else
-        tou_endpoint_set_reachable (endpoint, now_us);
+        {
+          tou_endpoint_set_reachable (endpoint, now_us);
+          tou_direct_answer (endpoint, now_us);
+        }
     }
   TOU_COUNT (endpoint->proxy, LINKS_REFUSED);
   if (link->gateway_node.len > 0 && reply->error == TOU_SQL_E_BUSY)
     {
-      /* Another gateway is tried at once, but only one: all nodes would try all
-         gateways of a failed database again and again. */
+      if (tou_direct_on_refusal (endpoint, &link->gateway_node, reply->text,
+                                 now_us))
+        {
+          tou_link_close (link, plat_wire_error_name (reply->error));
+          return;
+        }
+      /* It is stopping. Another one is tried at once, but only one. */
       if (endpoint->unreachable_since_us != 0)
         pause_us = LINK_REJECTED_PAUSE_US;
-      tou_endpoint_set_unreachable (endpoint, "not reachable from its gateway",
-                                    now_us);
-      endpoint->gateway_refused_us = now_us;
+      tou_endpoint_set_unreachable (endpoint, "refused by its gateway", now_us);
       tou_endpoint_avoid_gateway (endpoint, &link->gateway_node,
-                                  "database is lost", now_us);
+                                  "gateway refused", now_us);
     }
   endpoint->open_after_us = now_us + pause_us;
   tou_link_close (link, plat_wire_error_name (reply->error));
@@ -408,6 +419,9 @@
         }
       link->error = reply.error;
       link->answered = TRUE;
+      if (link->gateway_node.len > 0 && reply.error == TOU_SQL_E_BUSY)
+        link->unreachable = tou_direct_on_refusal (
+            link->endpoint, &link->gateway_node, reply.text, link->received_us);
       break;
     case TOU_SQL_REPLY_COMPLETE:
       link->complete = TRUE;
@@ -444,9 +458,13 @@
     }
   /* Until the database has accepted the link, another one, or a gateway, may be
      answering. */
-  if (link->state == LINK_READY)
-    tou_endpoint_set_reachable (link->endpoint, tou_clock_us ());
   link->received_us = tou_clock_us ();
+  if (link->state == LINK_READY)
+    {
+      tou_endpoint_set_reachable (link->endpoint, link->received_us);
+      if (link->gateway_node.len == 0)
+        tou_direct_answer (link->endpoint, link->received_us);
+    }
   g_string_append_len (link->in, buf->base, n);
   /* A closed link is freed later by the event loop, so it can be read here. */
   while (!link->closed
@@ -473,8 +491,7 @@
         tou_endpoint_avoid_gateway (link->endpoint, &link->gateway_node,
                                     "connection refused", now_us);
       else
-        tou_endpoint_set_unreachable (link->endpoint, "connection refused",
-                                      now_us);
+        tou_direct_fail (link->endpoint, "connection refused", now_us);
       link->endpoint->open_after_us = now_us + LINK_PAUSE_US;
       tou_link_close (link, NULL);
       return;
@@ -490,13 +507,13 @@
   uv_read_start ((uv_stream_t *)&link->tcp, tou_stream_alloc, link_on_read);
 }
 
-void
-tou_link_open (TouEndpoint *endpoint, guint64 now_us)
+static void
+link_open (TouEndpoint *endpoint, const TouName *gateway, guint64 now_us)
 {
   struct sockaddr_in address = endpoint->gateway_address;
   TouLink *link;
 
-  if (endpoint->gateway.len == 0
+  if (gateway->len == 0
       && tou_stream_address (&address, &endpoint->info.address) != TOU_OK)
     {
       tou_evlog (TOU_EVLOG_FAILURE, "endpoint_address",
@@ -509,7 +526,7 @@
   link->endpoint = endpoint;
   link->since_us = now_us;
   link->initial_pos = endpoint->newest_pos;
-  link->gateway_node = endpoint->gateway;
+  link->gateway_node = *gateway;
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -533,6 +550,20 @@
     }
 }
 
+void
+tou_link_open (TouEndpoint *endpoint, guint64 now_us)
+{
+  link_open (endpoint, &endpoint->gateway, now_us);
+}
+
+void
+tou_link_open_direct (TouEndpoint *endpoint, guint64 now_us)
+{
+  TouName none = { 0 };
+
+  link_open (endpoint, &none, now_us);
+}
+
 gboolean
 tou_link_is_idle (const TouLink *link)
 {
--- a/src/session/link.h
+++ b/src/session/link.h
@@ -30,6 +30,8 @@
 typedef struct
 {
   TouTaskOutcome outcome;
+  gboolean unreachable; /**< a gateway has not run it: it does not reach the
+                             database */
   gboolean complete;    /**< ANSWERED: TRUE for success, FALSE for an error */
   TouSqlError error;    /**< also for NOT_RUN */
   const GString *lines; /**< rows and the final message, as received */
@@ -66,8 +68,9 @@
   guint64 until_us;
 } TouAvoidedGateway;
 
-/** Maximum avoided gateways per endpoint: the gateways of a large group. */
-#define TOU_MAX_AVOIDED 4
+/** Maximum avoided gateways per endpoint: those of a large group, and as many
+    that stand in for them. */
+#define TOU_MAX_AVOIDED 12
 
 /** An endpoint and this node's links to it. */
 struct TouEndpoint
@@ -84,10 +87,18 @@
   TouQueue *relay_queue; /**< waiting relayed statements; NULL until needed */
   /** Gateway for new links; empty: direct connections. */
   TouName gateway;
+  TouName hint; /**< a gateway that reaches it, named by another one */
   struct sockaddr_in gateway_address;
   TouAvoidedGateway avoided[TOU_MAX_AVOIDED];
-  guint n_avoided;  /**< total so far; the next one replaces the oldest */
-  guint n_gateways; /**< number of gateways; 0: all nodes connect directly */
+  guint n_avoided;     /**< total so far; the next one replaces the oldest */
+  guint n_gateways;    /**< number of gateways; 0: all nodes connect directly */
+  guint n_refused;     /**< gateways that have refused since it answered */
+  gboolean is_gateway; /**< this node is one of the gateways */
+  /** Since when the direct path has failed; 0: it works or is not used. */
+  guint64 direct_failed_us;
+  guint64 direct_probe_us;  /**< next attempt to reach it directly */
+  guint64 standin_until_us; /**< this node stands in as a gateway; 0: no */
+  guint64 hint_until_us;
   guint64 gateway_inputs; /**< hash of what the gateway was selected from */
   TouWindow window;
   guint64 latency_us;         /**< moving average of the statement latency */
@@ -123,8 +134,9 @@
 gboolean tou_endpoint_has_failed (const TouEndpoint *endpoint);
 
 /**
- * TRUE if it has failed as seen over direct connections. Failures seen through
- * a gateway do not count here, because the gateway reports them itself.
+ * TRUE if it has failed as seen over direct connections, also while a gateway
+ * uses another one. Failures seen through a gateway do not count here, because
+ * the gateway reports them itself; nor do those of nodes that stand in.
  */
 gboolean tou_endpoint_is_suspect (const TouEndpoint *endpoint);
 
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -1307,8 +1307,12 @@
 {
   const TouProxy *proxy = peers->proxy;
   GArray *nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
-  TouGatewayNode node = { proxy->settings.node, proxy->settings.failure_domain,
-                          TRUE, FALSE, FALSE };
+  TouGatewayNode node = { proxy->settings.node,
+                          proxy->settings.failure_domain,
+                          TRUE,
+                          FALSE,
+                          FALSE,
+                          FALSE };
   /* Nodes outside the panel receive heartbeats from the panel only. */
   gboolean hears_all
       = proxy->panel.revision == 0
--- a/src/session/placement.c
+++ b/src/session/placement.c
@@ -1,5 +1,6 @@
 #include "placement.h"
 
+#include "direct.h"
 #include "gateway.h"
 #include "link.h"
 #include "relay.h"
@@ -19,6 +20,7 @@
 {
   TouName none = { 0 };
   const TouName *name = gateway != NULL ? &gateway->node : &none;
+  gboolean was_direct = endpoint->gateway.len == 0;
 
   if (tou_name_equal (&endpoint->gateway, name))
     return;
@@ -28,10 +30,12 @@
              endpoint->info.id.data, name->data, endpoint->gateway.data,
              endpoint->n_gateways, endpoint->proxy->n_nodes);
   endpoint->gateway = *name;
-  if (endpoint->unreachable_since_us == 0)
+  if (endpoint->unreachable_since_us == 0 || was_direct || gateway == NULL)
     endpoint->open_after_us = 0;
   if (gateway != NULL)
     tou_peers_node_address (&endpoint->gateway_address, peers, name);
+  if (was_direct && endpoint->direct_failed_us != 0)
+    tou_direct_leave (endpoint);
 }
 
 static void
@@ -50,6 +54,63 @@
     }
 }
 
+/* Returns the node that a gateway has named as one that reaches the endpoint,
+   or NULL if there is none or it cannot be used. */
+static const TouGatewayNode *
+placement_hinted (const GArray *nodes, const TouEndpoint *endpoint,
+                  guint64 now_us)
+{
+  if (now_us >= endpoint->hint_until_us)
+    return NULL;
+  for (guint i = 1; i < nodes->len; i++)
+    {
+      const TouGatewayNode *node = &g_array_index (nodes, TouGatewayNode, i);
+
+      if (tou_name_equal (&node->node, &endpoint->hint))
+        return node->alive && !node->avoided ? node : NULL;
+    }
+  return NULL;
+}
+
+/* Selects the gateway; NULL: direct connections. */
+static const TouGatewayNode *
+placement_choose (TouEndpoint *endpoint, const GArray *nodes, guint64 now_us)
+{
+  const TouGatewayNode *first = (const void *)nodes->data;
+  const TouName *failure_domain = &endpoint->info.failure_domain;
+  guint n_gateways = endpoint->n_gateways;
+  const TouGatewayNode *hinted;
+  guint chosen;
+
+  chosen = tou_gateway_choose (first, nodes->len, 0, &endpoint->info.id,
+                               failure_domain, &n_gateways);
+  endpoint->is_gateway
+      = tou_gateway_contains (first, nodes->len, 0, 0, &endpoint->info.id,
+                              failure_domain, endpoint->n_gateways);
+  endpoint->n_gateways = n_gateways;
+  if ((chosen == 0 && endpoint->is_gateway)
+      || (!first->cut && tou_direct_stands_in (endpoint, now_us)))
+    return NULL;
+  hinted = placement_hinted (nodes, endpoint, now_us);
+  if (hinted != NULL)
+    return hinted;
+  if (chosen != 0)
+    return &first[chosen];
+  tou_direct_stand_in (endpoint, now_us);
+  return NULL;
+}
+
+/* After standing in, the direct path counts again only when it is used. */
+static void
+placement_end_stand_in (TouEndpoint *endpoint, guint64 now_us)
+{
+  if (endpoint->standin_until_us != 0
+      && !tou_direct_stands_in (endpoint, now_us))
+    endpoint->standin_until_us = 0;
+  if (!endpoint->is_gateway && endpoint->standin_until_us == 0)
+    endpoint->direct_failed_us = 0;
+}
+
 /* Selects the endpoint's gateway if something that it depends on has changed
    since the last time: ranking hundreds of nodes costs more than a statement.
  */
@@ -57,15 +118,20 @@
 placement_select (TouEndpoint *endpoint, GArray *nodes, const TouPeers *peers,
                   guint64 now_us)
 {
-  const TouGatewayNode *first = (const void *)nodes->data;
-  const TouGatewayNode *gateway = NULL;
+  TouGatewayNode *first = (void *)nodes->data;
+  const TouGatewayNode *hinted;
   guint connection_limit = endpoint->group->limits.connection_limit;
   guint n_gateways = tou_gateway_count (connection_limit, nodes->len);
   guint64 inputs;
 
+  placement_end_stand_in (endpoint, now_us);
   placement_mark_avoided (nodes, endpoint, now_us);
+  first->cut = endpoint->direct_failed_us != 0;
+  hinted = placement_hinted (nodes, endpoint, now_us);
   inputs = tou_gateway_inputs (first, nodes->len) ^ n_gateways
            ^ (guint64)tou_name_hash (&endpoint->info.failure_domain) << 32;
+  inputs += endpoint->standin_until_us != 0;
+  inputs += hinted != NULL ? tou_name_hash (&hinted->node) : 0;
   if (inputs == endpoint->gateway_inputs)
     {
       /* The gateway may have been replaced at another address. */
@@ -75,17 +141,12 @@
       return;
     }
   endpoint->gateway_inputs = inputs;
-  if (n_gateways > 0)
-    {
-      guint chosen
-          = tou_gateway_choose (first, nodes->len, 0, &endpoint->info.id,
-                                &endpoint->info.failure_domain, &n_gateways);
-
-      if (chosen != 0)
-        gateway = &g_array_index (nodes, TouGatewayNode, chosen);
-    }
   endpoint->n_gateways = n_gateways;
-  placement_apply (endpoint, gateway, peers);
+  endpoint->is_gateway = FALSE;
+  placement_apply (endpoint,
+                   n_gateways > 0 ? placement_choose (endpoint, nodes, now_us)
+                                  : NULL,
+                   peers);
 }
 
 /* Closes links through unreachable gateways, so that clients are answered at
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -62,6 +62,10 @@
   X (RELAY_REFUSED, "relay_refused_total", "statements of nodes not run")      \
   X (RELAY_SESSIONS, "relay_sessions_total", "sessions of other nodes")        \
   X (GATEWAYS_AVOIDED, "gateways_avoided_total", "gateways that failed")       \
+  X (GATEWAY_UNREACHABLE, "gateways_unreachable_total",                        \
+     "refusals of gateways that do not reach the database")                    \
+  X (DIRECT_FAILED, "direct_failed_total", "direct paths of gateways lost")    \
+  X (STAND_INS, "stand_ins_total", "times this node stood in as a gateway")    \
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -1,7 +1,9 @@
 #include "relay.h"
 
+#include "direct.h"
 #include "dispatch.h"
 #include "stream.h"
+#include "unreachable.h"
 #include "values.h"
 
 #include "wire.h"
@@ -263,7 +265,8 @@
 {
   TouQueueItem *item;
 
-  if (endpoint->relay_queue == NULL || tou_endpoint_has_left (endpoint, now_us))
+  if (endpoint->relay_queue == NULL || endpoint->direct_failed_us != 0
+      || tou_endpoint_has_left (endpoint, now_us))
     return;
   while ((item = tou_dispatch_next (endpoint->relay_queue, endpoint, now_us))
          != NULL)
@@ -363,16 +366,20 @@
 void
 tou_relay_tick (TouEndpoint *endpoint, guint64 now_us)
 {
-  const char *reason
-      = tou_endpoint_has_left (endpoint, now_us) ? "database is leaving"
-        : tou_endpoint_has_failed (endpoint)     ? "database does not answer"
-                                                 : NULL;
+  char unreachable[TOU_UNREACHABLE_TEXT_MAX];
+  const char *reason = tou_endpoint_has_left (endpoint, now_us)
+                           ? "database is leaving"
+                       : !tou_direct_serves (endpoint) ? unreachable
+                                                       : NULL;
   gboolean all_links_pinned;
   TouQueueItem *item;
   GList *next;
 
   if (endpoint->relay_queue == NULL)
     return;
+  tou_unreachable_text (unreachable, tou_direct_hint (endpoint));
+  if (endpoint->relays.length > 0 && endpoint->standin_until_us != 0)
+    tou_direct_on_request (endpoint, now_us);
   all_links_pinned = relay_all_links_pinned (endpoint);
   for (GList *list_node = endpoint->relays.head; list_node != NULL;
        list_node = next)
@@ -505,6 +512,7 @@
 relay_on_startup (TouRelay *relay, const TouSqlClientMessage *message)
 {
   TouEndpoint *endpoint = NULL;
+  char unreachable[TOU_UNREACHABLE_TEXT_MAX];
   TouName id;
   GString *out;
 
@@ -523,9 +531,11 @@
       relay_reject (relay, TOU_SQL_E_BUSY, RELAY_STOPPING_REASON);
       return;
     }
-  if (tou_endpoint_has_failed (endpoint))
+  tou_direct_on_request (endpoint, tou_clock_us ());
+  if (!tou_direct_serves (endpoint))
     {
-      relay_reject (relay, TOU_SQL_E_BUSY, "not reachable from this node");
+      tou_unreachable_text (unreachable, tou_direct_hint (endpoint));
+      relay_reject (relay, TOU_SQL_E_BUSY, unreachable);
       return;
     }
   tou_name_set (&relay->peer, message->user.data, message->user.len);
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -21,6 +21,7 @@
   gboolean cut;
   gboolean cut_set;
   gboolean hold;
+  char *muted;              /* node that receives no answers, or NULL */
   GString *held_reply;      /* delayed reply, or NULL */
   uv_stream_t *held_stream; /* connection of the reply */
   GString *trace;
@@ -33,6 +34,7 @@
   LineDatabase *database;
   GString *in;
   gboolean started;
+  char *user;
   gboolean in_txn;
   gboolean wrote;
   GHashTable *prepared; /* name to "ACCESS shape" */
@@ -45,6 +47,7 @@
   Connection *connection = handle->data;
 
   g_string_free (connection->in, TRUE);
+  g_free (connection->user);
   g_hash_table_destroy (connection->prepared);
   tou_values_clear (&connection->values);
   g_free (connection);
@@ -58,6 +61,14 @@
     uv_close ((uv_handle_t *)&connection->tcp, on_closed);
 }
 
+static void
+send_answer (const Connection *connection, const GString *out)
+{
+  if (g_strcmp0 (connection->user, connection->database->muted) != 0
+      || connection->user == NULL)
+    tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+}
+
 static gboolean
 starts_with (TouSlice text, const char *word)
 {
@@ -251,7 +262,7 @@
       || (internal && database->cut_set && starts_with (text, "SET")))
     {
       database->cut = database->cut_set = FALSE;
-      tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+      send_answer (connection, out);
       close_connection (connection);
       g_string_free (out, TRUE);
       return;
@@ -270,7 +281,7 @@
       return;
     }
   else
-    tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+    send_answer (connection, out);
   g_string_free (out, TRUE);
 }
 
@@ -286,11 +297,13 @@
       connection->started = TRUE;
       out = g_string_new (NULL);
       /* STARTUP group user id */
+      connection->user = g_strndup (first_word (skip_word (rest)).data,
+                                    first_word (skip_word (rest)).len);
       if (tou_slice_is (skip_word (skip_word (rest)), database->id))
         put_ready (connection, out);
       else
         plat_wire_put_error (out, TOU_SQL_E_MOVED, database->id);
-      tou_stream_send ((uv_stream_t *)&connection->tcp, out->str, out->len);
+      send_answer (connection, out);
       g_string_free (out, TRUE);
       return;
     }
@@ -418,6 +431,13 @@
   database->cut_set = TRUE;
 }
 
+void
+line_database_mute (LineDatabase *database, const char *node)
+{
+  g_free (database->muted);
+  database->muted = g_strdup (node);
+}
+
 void
 line_database_hold (LineDatabase *database)
 {
@@ -454,6 +474,7 @@
 void
 line_database_free (LineDatabase *database)
 {
+  g_free (database->muted);
   if (database->held_reply != NULL)
     g_string_free (database->held_reply, TRUE);
   g_ptr_array_unref (database->connections);
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -47,6 +47,12 @@
 /** Closes the connection before READY in the next reply to an internal SET. */
 void line_database_cut_set (LineDatabase *database);
 
+/**
+ * Cuts the path to @a node in one direction: the database receives its
+ * messages, but sends it no answers. NULL: ends the cut, for new connections.
+ */
+void line_database_mute (LineDatabase *database, const char *node);
+
 /** Delays the next reply to a client until line_database_resume(). */
 void line_database_hold (LineDatabase *database);
 void line_database_resume (LineDatabase *database);
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -2,7 +2,7 @@
 
 #include "line-database.h"
 
-#include "link.h"
+#include "direct.h"
 #include "relay.h"
 #include "stream.h"
 
@@ -38,10 +38,41 @@
   guint64 next_id;
   gboolean proofs_paused;  /* no proofs of the record are added */
   TouProxy *gateway_proxy; /* node that is the gateway, or NULL */
+  TouEndpoint *placed;     /* its gateway changes, or NULL */
   gboolean gateway_silent; /* it reports no progress */
   GString *out;
 } Script;
 
+static gboolean
+avoids_gateway (const TouEndpoint *endpoint, const TouName *node)
+{
+  for (guint i = 0; i < TOU_MAX_AVOIDED; i++)
+    if (tou_name_equal (&endpoint->avoided[i].node, node)
+        && tou_clock_us () < endpoint->avoided[i].until_us)
+      return TRUE;
+  return FALSE;
+}
+
+/* Selects the gateway as src/session/placement.c does with two nodes: the other
+   one if the direct path has failed, this one if the other is avoided. */
+static void
+place (TouEndpoint *endpoint)
+{
+  TouName other = tou_name ("n2");
+  gboolean direct
+      = endpoint->direct_failed_us == 0
+        && (endpoint->is_gateway || avoids_gateway (endpoint, &other));
+
+  if (direct == (endpoint->gateway.len == 0))
+    return;
+  endpoint->open_after_us = 0;
+  endpoint->gateway = other;
+  if (direct)
+    endpoint->gateway.len = 0;
+  else
+    tou_direct_leave (endpoint);
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -52,6 +83,8 @@
     tou_authority_prove_by_store (
         script->group->authority,
         tou_authority_record (script->group->authority)->revision, now_us);
+  if (script->placed != NULL)
+    place (script->placed);
   tou_proxy_tick (script->proxy, now_us);
   if (script->gateway_proxy != NULL && !script->gateway_silent)
     tou_proxy_tick (script->gateway_proxy, now_us);
@@ -226,6 +259,31 @@
                       (struct sockaddr *)&endpoint->gateway_address, &len);
 }
 
+/* Selects the gateway of the database from both nodes. With "self", the first
+   one is a gateway as well. */
+static void
+run_place (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *endpoint = g_hash_table_lookup (script->proxy->endpoints, &id);
+
+  endpoint->n_gateways = 2;
+  endpoint->is_gateway = words[2] != NULL;
+  script->placed = endpoint;
+  place (endpoint);
+}
+
+static void
+run_path (Script *script)
+{
+  const TouEndpoint *endpoint = script->placed;
+
+  g_string_append_printf (
+      script->out, "%s, %s\n",
+      endpoint->gateway.len > 0 ? "through the other node" : "direct",
+      tou_endpoint_is_suspect (endpoint) ? "suspected" : "not suspected");
+}
+
 /* Stops the gateway node. */
 static void
 run_gateway_stop (Script *script)
@@ -428,6 +486,8 @@
     line_database_fail (database, words[2]);
   else if (strcmp (words[0], "drop") == 0)
     line_database_drop (database);
+  else if (strcmp (words[0], "mute") == 0)
+    line_database_mute (database, words[2]);
   else if (strcmp (words[0], "cut") == 0)
     line_database_cut (database);
   else if (strcmp (words[0], "cut-set") == 0)
@@ -531,6 +591,10 @@
     run_db (script, words);
   else if (strcmp (words[0], "via") == 0)
     run_via (script, words);
+  else if (strcmp (words[0], "place") == 0)
+    run_place (script, words);
+  else if (strcmp (words[0], "path") == 0)
+    run_path (script);
   else if (strcmp (words[0], "gateway-draining") == 0)
     run_gateway_draining (script, words);
   else if (strcmp (words[0], "gateway-silent") == 0)
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -443,8 +443,9 @@
   for (int i = 1; i < command->count; i++)
     {
       char **parts = g_strsplit (arg (command, i), "/", 2);
-      TouGatewayNode node
-          = { tou_name (parts[0]), tou_name (parts[1]), TRUE, FALSE, FALSE };
+      TouGatewayNode node = {
+        tou_name (parts[0]), tou_name (parts[1]), TRUE, FALSE, FALSE, FALSE
+      };
 
       g_array_append_val (script->nodes, node);
       g_strfreev (parts);
@@ -514,6 +515,8 @@
     node->alive = FALSE;
   else if (arg_is (command, 0, "node-avoided") && node != NULL)
     node->avoided = TRUE;
+  else if (arg_is (command, 0, "node-cut") && node != NULL)
+    node->cut = TRUE;
   else
     return FALSE;
   return TRUE;
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -8,10 +8,12 @@
 
 #include <cmocka.h>
 
-#include "link.h"
+#include "direct.h"
 #include "placement.h"
+#include "unreachable.h"
 
 #include <arpa/inet.h>
+#include <string.h>
 
 /* More nodes than a third of the database's connections. */
 #define N_OTHERS 40
@@ -123,12 +125,114 @@
   node_clear (&node);
 }
 
+static void
+node_tick (Node *node, TouEndpoint *endpoint, guint64 now_us)
+{
+  node->proxy->placement_due = TRUE;
+  tou_placement_tick (node->proxy, node->peers, now_us);
+  assert_true (endpoint->n_gateways > 0);
+}
+
+/* A gateway that does not reach its database has to use another one, suspect
+ * the database as long as its own path has failed, and return to it. */
+static void
+test_gateway_loses_its_path (void **state)
+{
+  guint64 now_us = tou_clock_us ();
+  TouEndpoint *endpoint;
+  Node node;
+
+  (void)state;
+  node_init (&node);
+  endpoint = node_add_endpoint (&node);
+  endpoint->info.failure_domain = tou_name ("b");
+  node_tick (&node, endpoint, now_us);
+  assert_true (endpoint->is_gateway);
+  assert_int_equal (endpoint->gateway.len, 0);
+  tou_direct_fail (endpoint, "test", now_us);
+  node_tick (&node, endpoint, now_us);
+  assert_true (endpoint->gateway.len > 0);
+  assert_true (tou_endpoint_is_suspect (endpoint));
+  assert_false (tou_direct_serves (endpoint));
+  tou_direct_answer (endpoint, now_us);
+  node_tick (&node, endpoint, now_us);
+  assert_int_equal (endpoint->gateway.len, 0);
+  node_clear (&node);
+}
+
+/* When all gateways fail, a node that is none of them has to be tried. */
+static void
+test_all_gateways_fail (void **state)
+{
+  guint64 now_us = tou_clock_us ();
+  GHashTable *tried = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
+                                             g_free, NULL);
+  TouSlice refusal = { "not reachable from this node", 28 };
+  TouEndpoint *endpoint;
+  Node node;
+
+  (void)state;
+  node_init (&node);
+  endpoint = node_add_endpoint (&node);
+  node_tick (&node, endpoint, now_us);
+  for (guint i = 0; i < endpoint->n_gateways + 2 && endpoint->gateway.len > 0;
+       i++)
+    {
+      TouName gateway = endpoint->gateway;
+
+      assert_true (
+          g_hash_table_add (tried, g_memdup2 (&gateway, sizeof gateway)));
+      assert_true (tou_direct_on_refusal (endpoint, &gateway, refusal, now_us));
+      node_tick (&node, endpoint, now_us);
+    }
+  assert_true (g_hash_table_size (tried) >= endpoint->n_gateways);
+  assert_true (endpoint->gateway.len == 0
+               || !g_hash_table_contains (tried, &endpoint->gateway));
+  /* It cannot take connections from the gateways. */
+  tou_direct_stand_in (endpoint, now_us);
+  node_tick (&node, endpoint, now_us);
+  assert_int_equal (endpoint->gateway.len, 0);
+  assert_int_equal (tou_endpoint_link_limit (endpoint), 1);
+  g_hash_table_destroy (tried);
+  node_clear (&node);
+}
+
+/* A gateway that reaches the database is not searched for if another one has
+ * named it. */
+static void
+test_gateway_is_named (void **state)
+{
+  guint64 now_us = tou_clock_us ();
+  TouName named = tou_name ("node7");
+  char text[TOU_UNREACHABLE_TEXT_MAX];
+  TouEndpoint *endpoint;
+  TouName gateway;
+  Node node;
+
+  (void)state;
+  node_init (&node);
+  endpoint = node_add_endpoint (&node);
+  node_tick (&node, endpoint, now_us);
+  gateway = endpoint->gateway;
+  tou_unreachable_text (text, &named);
+  assert_true (tou_direct_on_refusal (
+      endpoint, &gateway, (TouSlice){ text, strlen (text) }, now_us));
+  node_tick (&node, endpoint, now_us);
+  assert_string_equal (endpoint->gateway.data, "node7");
+  assert_false (tou_direct_on_refusal (
+      endpoint, &gateway, (TouSlice){ "queue is too long", 17 }, now_us));
+  node_clear (&node);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_new_endpoint_has_gateway),
-          cmocka_unit_test (test_gateway_moves_to_another_address) };
+          cmocka_unit_test (test_gateway_moves_to_another_address),
+          cmocka_unit_test (test_gateway_loses_its_path),
+          cmocka_unit_test (test_all_gateways_fail),
+          cmocka_unit_test (test_gateway_is_named) };
 
   return cmocka_run_group_tests_name ("placement", tests, NULL, NULL);
 }
