--- a/src/session/client.c
+++ b/src/session/client.c
@@ -243,16 +243,16 @@
   guint64 now_us = tou_clock_us ();
   guint64 retry_us = 0;
   TouQueueItem *evicted;
-  const char *refusal;
+  char reason[CLIENT_TEXT_MAX];
   int status;
 
   if (!request->needs_primary && !client_set_required_pos (client, group))
     request->needs_primary = TRUE;
-  refusal = request->needs_primary ? tou_group_refusal_reason (group, now_us)
-                                   : NULL;
-  if (refusal != NULL)
+  if (request->needs_primary
+      && tou_group_refuses (group, request->arrived_us, request->deadline_us,
+                            now_us, reason))
     {
-      client_fail (client, TOU_SQL_E_BUSY, refusal, NULL);
+      client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
       return;
     }
   memset (&request->item, 0, sizeof request->item);
@@ -268,6 +268,30 @@
     client_evict (evicted, retry_us);
 }
 
+void
+tou_client_refuse_waiting (TouGroup *group, guint64 now_us)
+{
+  char reason[TOU_REFUSAL_TEXT_MAX];
+  GList *next;
+
+  for (GList *list_node = group->proxy->clients.head; list_node != NULL;
+       list_node = next)
+    {
+      TouClient *client = list_node->data;
+      TouClientRequest *request = &client->request;
+
+      /* Closing a client removes it from the list. */
+      next = list_node->next;
+      if (!request->item.queued || !request->needs_primary
+          || !tou_name_equal (&client->route.group, &group->name)
+          || !tou_group_refuses (group, request->arrived_us,
+                                 request->deadline_us, now_us, reason))
+        continue;
+      tou_queue_remove (group->writes, &request->item);
+      tou_client_refuse_request (client, TOU_SQL_E_BUSY, reason);
+    }
+}
+
 void
 tou_client_requeue_request (TouClient *client)
 {
@@ -370,7 +394,10 @@
       client_wait_for_replica (client, endpoint);
       return;
     }
-  if (result->error == TOU_SQL_E_BUSY)
+  /* The search for a gateway that reaches the database is not an attempt. */
+  if (result->unreachable)
+    request->attempts--;
+  else if (result->error == TOU_SQL_E_BUSY)
     tou_window_refused (&endpoint->window, tou_clock_us ());
   else if (result->error == TOU_SQL_E_FAILED)
     tou_endpoint_add_latency (endpoint, CLIENT_FAILURE_COST_US,
@@ -379,7 +406,7 @@
      refused it as busy, it was already queued there for the primary for as long
      as waiting was useful. */
   if (!(result->error == TOU_SQL_E_BUSY && endpoint->gateway.len > 0
-        && request->needs_primary)
+        && request->needs_primary && !result->unreachable)
       && client->state == TOU_SQL_STATE_IDLE
       && (not_run || !request->task.may_commit)
       && client_retry (client, endpoint))
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -50,12 +50,15 @@
   gsize row_start;
   gsize row_len;
   gboolean complete;
-  gboolean answered; /* COMPLETE or ERROR was received */
+  gboolean unreachable; /* the gateway does not reach the database */
+  gboolean answered;    /* COMPLETE or ERROR was received */
   TouSqlError error;
 };
 
 /** Opens a link for @a team (NULL: none) and adds it to the endpoint's. */
 void tou_link_open (TouEndpoint *endpoint, const TouName *team, guint64 now_us);
+/** Opens a link without a team, not through the endpoint's gateway. */
+void tou_link_open_direct (TouEndpoint *endpoint, guint64 now_us);
 
 /**
  * TRUE if its gateway has neither answered a statement nor reported it in
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -793,7 +793,7 @@
 
 /* Updates @a peer. @return FALSE if the message is to be ignored */
 static gboolean
-peer_on_header (Peer *peer, const PeerHeader *header)
+peer_on_header (TouPeers *peers, Peer *peer, const PeerHeader *header)
 {
   if (header->incarnation < peer->incarnation)
     return FALSE;
@@ -801,6 +801,7 @@
     peer_reset (peer);
   peer->incarnation = header->incarnation;
   peer->last_heartbeat_us = tou_clock_us ();
+  peers->proxy->node_heard_us = peer->last_heartbeat_us;
   /* Datagrams may arrive out of order. */
   if (header->sent_us < peer->echo_us)
     return FALSE;
@@ -849,7 +850,7 @@
   groups = &fields[12];
   peer = g_hash_table_lookup (peers->nodes, &header.node);
   /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
-  if (peer == NULL || !peer_on_header (peer, &header))
+  if (peer == NULL || !peer_on_header (peers, peer, &header))
     return TRUE;
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
   if (!peers_on_panel (peers, &fields[10])
@@ -1349,8 +1350,12 @@
 {
   const TouProxy *proxy = peers->proxy;
   GArray *nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
-  TouGatewayNode node = { proxy->settings.node, proxy->settings.failure_domain,
-                          TRUE, FALSE, FALSE };
+  TouGatewayNode node = { proxy->settings.node,
+                          proxy->settings.failure_domain,
+                          TRUE,
+                          FALSE,
+                          FALSE,
+                          FALSE };
   /* Nodes outside the panel receive heartbeats from the panel only. */
   gboolean hears_all
       = proxy->panel.revision == 0
