--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -400,10 +400,12 @@
 static void
 run_queue_limit (Script *script, char **words)
 {
-  tou_queue_destroy (script->group->writes);
-  tou_queue_create (&script->group->writes,
-                    (guint)strtoull (words[1], NULL, 10), 1);
-  tou_group_configure (script->group);
+  TouName name = tou_name ("g");
+  TouGroup *group = tou_group_get (script->proxy, &name);
+
+  tou_queue_destroy (group->writes);
+  tou_queue_create (&group->writes, (guint)strtoull (words[1], NULL, 10), 1);
+  tou_group_configure (group);
 }
 
 static void
