--- a/src/quota/quota-holder.c
+++ b/src/quota/quota-holder.c
@@ -566,6 +566,7 @@
 tou_quota_holder_next_request (TouQuotaHolder *holder, TouQuotaRequest *request,
                                guint64 now_us)
 {
+  gboolean may_ask = now_us >= holder->sent_us + TOU_QUOTA_REQUEST_INTERVAL_US;
   HolderIssuer *issuer;
   gsize bytes = 0;
   gint index;
@@ -575,6 +576,7 @@
   for (guint i = 0; i < holder->n_issuers; i++)
     {
       issuer = &holder->issuers[i];
+      may_ask = may_ask || issuer->local;
       if (!issuer->pending || now_us < issuer->sent_us + HOLDER_TIMEOUT_US)
         continue;
       issuer->pending = FALSE;
@@ -584,7 +586,7 @@
             + (issuer->n_lost < HOLDER_LOST_REQUESTS ? HOLDER_LOST_US
                                                      : HOLDER_SILENT_US);
     }
-  index = holder_next_issuer (holder, now_us);
+  index = may_ask ? holder_next_issuer (holder, now_us) : -1;
   if (index < 0)
     return NULL;
   issuer = &holder->issuers[index];
