--- a/src/quota/quota-holder.c
+++ b/src/quota/quota-holder.c
@@ -256,13 +256,21 @@
   return silent;
 }
 
+/* TRUE if an issuer has no credit now, but not because the team used it up. */
+static gboolean
+holder_is_temporary (TouQuotaCause cause)
+{
+  return cause == TOU_QUOTA_STARTING || cause == TOU_QUOTA_NO_MAJORITY;
+}
+
 /* Begins a round if no operation waits: issuers that may have credit again are
-   asked again. */
+   asked again. Those that could not issue are asked again in any case. */
 static void
 holder_team_begin_round (HolderTeam *team, guint64 now_us)
 {
-  for (guint i = 0; team->waiting == 0 && i < TOU_QUOTA_MAX_ISSUERS; i++)
-    if (now_us >= team->none_us[i])
+  for (guint i = 0; i < TOU_QUOTA_MAX_ISSUERS; i++)
+    if (now_us >= team->none_us[i]
+        && (team->waiting == 0 || holder_is_temporary (team->causes[i])))
       team->none &= ~(1U << i);
 }
 
@@ -274,8 +282,6 @@
   guint32 silent = holder_silent (holder, now_us);
   guint64 until_us = now_us + HOLDER_SILENT_US;
 
-  if ((limit->issuers & ~(team->none | silent)) != 0)
-    return FALSE;
   refusal->cause = TOU_QUOTA_SILENT;
   for (guint i = 0; i < holder->n_issuers; i++)
     if ((limit->issuers & team->none & ~silent & 1U << i) != 0
@@ -285,7 +291,8 @@
         until_us = team->none_us[i];
       }
   refusal->retry_us = until_us - MIN (until_us, now_us);
-  return TRUE;
+  refusal->temporary = holder_is_temporary (refusal->cause);
+  return (limit->issuers & ~(team->none | silent)) == 0;
 }
 
 TouQuotaResult
@@ -566,6 +573,7 @@
 tou_quota_holder_next_request (TouQuotaHolder *holder, TouQuotaRequest *request,
                                guint64 now_us)
 {
+  gboolean may_ask = now_us >= holder->sent_us + TOU_QUOTA_REQUEST_INTERVAL_US;
   HolderIssuer *issuer;
   gsize bytes = 0;
   gint index;
@@ -575,6 +583,7 @@
   for (guint i = 0; i < holder->n_issuers; i++)
     {
       issuer = &holder->issuers[i];
+      may_ask = may_ask || issuer->local;
       if (!issuer->pending || now_us < issuer->sent_us + HOLDER_TIMEOUT_US)
         continue;
       issuer->pending = FALSE;
@@ -584,7 +593,7 @@
             + (issuer->n_lost < HOLDER_LOST_REQUESTS ? HOLDER_LOST_US
                                                      : HOLDER_SILENT_US);
     }
-  index = holder_next_issuer (holder, now_us);
+  index = may_ask ? holder_next_issuer (holder, now_us) : -1;
   if (index < 0)
     return NULL;
   issuer = &holder->issuers[index];
--- a/src/quota/quota-holder.h
+++ b/src/quota/quota-holder.h
@@ -29,6 +29,7 @@
 {
   guint64 retry_us;    /**< time until credit is expected */
   TouQuotaCause cause; /**< of the issuer that is expected to have it first */
+  gboolean temporary;  /**< that issuer could not issue: credit may be left */
 } TouQuotaRefusal;
 
 /** Credit of one operation, to give it back with tou_quota_holder_return(). */
--- a/src/session/credit.c
+++ b/src/session/credit.c
@@ -275,15 +275,27 @@
   return TRUE;
 }
 
-/* Returns an operation whose time to wait has passed, or NULL. */
+/* TRUE if the operation waits for issuers that cannot issue yet, such as those
+   that have just started. */
+static gboolean
+credit_outlasts (const TouCreditWait *wait, const TouQuotaRefusal *refusal,
+                 guint64 now_us)
+{
+  return refusal->temporary && now_us + refusal->retry_us < wait->deadline_us;
+}
+
+/* Returns an operation that is to be refused, or NULL.
+   @param refused all issuers have been asked, or do not answer */
 static TouCreditWait *
-credit_team_expired (const CreditTeam *team, guint64 now_us)
+credit_team_refusable (const CreditTeam *team, gboolean refused,
+                       const TouQuotaRefusal *refusal, guint64 now_us)
 {
   for (GList *link = team->waits.head; link != NULL; link = link->next)
     {
       TouCreditWait *wait = link->data;
 
-      if (now_us >= wait->until_us)
+      if ((refused || now_us >= wait->until_us)
+          && !credit_outlasts (wait, refusal, now_us))
         return wait;
     }
   return NULL;
@@ -295,6 +307,7 @@
 {
   TouQuotaRefusal refusal;
   TouCreditWait *wait;
+  gboolean refused;
   const char *reason;
 
   while ((wait = g_queue_peek_head (&team->waits)) != NULL)
@@ -305,13 +318,10 @@
           wait->done (wait, TRUE, 0, NULL);
           continue;
         }
-      if (!tou_quota_holder_is_refused (credit->holder, &team->team, now_us,
-                                        &refusal))
-        {
-          refusal.cause = TOU_QUOTA_SILENT;
-          refusal.retry_us = CREDIT_RETRY_US;
-          wait = credit_team_expired (team, now_us);
-        }
+      refused = tou_quota_holder_is_refused (credit->holder, &team->team,
+                                             now_us, &refusal);
+      refusal.retry_us = MAX (refusal.retry_us, CREDIT_RETRY_US);
+      wait = credit_team_refusable (team, refused, &refusal, now_us);
       if (wait == NULL)
         break;
       credit_unlink (credit, team, wait, now_us);
@@ -427,7 +437,7 @@
       TOU_COUNT (credit->proxy, QUOTA_GRANTED);
       return TOU_CREDIT_GRANTED;
     }
-  if (result == TOU_QUOTA_WAIT)
+  if (result == TOU_QUOTA_WAIT || credit_outlasts (wait, &refusal, now_us))
     {
       team = credit_team_get (credit, &wait->team);
       wait->waiting = TRUE;
@@ -446,7 +456,8 @@
           return TOU_CREDIT_GRANTED;
         }
       if (!tou_quota_holder_is_refused (credit->holder, &wait->team, now_us,
-                                        &refusal))
+                                        &refusal)
+          || credit_outlasts (wait, &refusal, now_us))
         return TOU_CREDIT_WAITING;
       credit_unlink (credit, team, wait, now_us);
     }
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -837,6 +837,59 @@
                    restarts_ms[i / 6] * TOU_US_PER_MS);
 }
 
+/* Guards against operations that are refused, or wait in vain, because the only
+ * issuer has just started: it does not issue yet, but will within their time.
+ */
+static void
+test_issuer_that_starts (void **state)
+{
+  TouName team = tou_name ("team");
+  TouName self = tou_name ("holder");
+  TouName other = tou_name ("issuer");
+  TouQuotaBounds bounds = { 5 * TOU_US_PER_S, 0.1, 20 };
+  guint64 now_us = TOU_US_PER_S;
+  TouQuotaLimits *limits[2];
+  TouQuotaHolder *holder;
+  TouQuotaIssuer *issuer;
+  TouQuotaRequest request;
+  TouQuotaReply reply;
+  TouQuotaRefusal refusal;
+  TouQuotaCredit credit;
+
+  (void)state;
+  for (guint i = 0; i < 2; i++)
+    {
+      tou_quota_limits_create (&limits[i], i == 0 ? &self : &other, &bounds);
+      tou_quota_limits_set_issuers (limits[i], &other, 1, now_us);
+      tou_quota_limits_begin_update (limits[i]);
+      tou_quota_limits_set (limits[i], &team, 10, 10, now_us);
+      tou_quota_limits_end_update (limits[i]);
+    }
+  tou_quota_holder_create (&holder, &self, 1, limits[0]);
+  tou_quota_issuer_create (&issuer, &other, limits[1]);
+  assert_int_equal (
+      tou_quota_holder_take (holder, &team, now_us, &credit, &refusal),
+      TOU_QUOTA_WAIT);
+  tou_quota_holder_set_waiting (holder, &team, 1, now_us);
+  assert_non_null (tou_quota_holder_next_request (holder, &request, now_us));
+  assert_true (
+      tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+  tou_quota_holder_on_reply (holder, &reply, now_us);
+  assert_true (tou_quota_holder_is_refused (holder, &team, now_us, &refusal));
+  assert_true (refusal.temporary);
+  /* The operation goes on waiting, and the issuer is asked again in time. */
+  now_us += refusal.retry_us;
+  assert_non_null (tou_quota_holder_next_request (holder, &request, now_us));
+  assert_true (
+      tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+  tou_quota_holder_on_reply (holder, &reply, now_us);
+  assert_true (tou_quota_holder_take_stock (holder, &team, now_us, &credit));
+  tou_quota_holder_destroy (holder);
+  tou_quota_issuer_destroy (issuer);
+  for (guint i = 0; i < 2; i++)
+    tou_quota_limits_destroy (limits[i]);
+}
+
 /* Guards against credit that is used twice or after it has expired. */
 static void
 test_messages (void **state)
@@ -893,6 +946,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (test_messages), cmocka_unit_test (test_hoarder),
+          cmocka_unit_test (test_issuer_that_starts),
           cmocka_unit_test (test_calm), cmocka_unit_test (test_faults) };
 
   return cmocka_run_group_tests_name ("quota", tests, NULL, NULL);
