--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -16,6 +16,7 @@
   char *id;
   gboolean primary;
   TouLogPos pos;
+  char *row_pad;
   char *next_error;
   gboolean drop;
   gboolean cut;
@@ -110,6 +111,8 @@
     g_string_append_printf (
         out, " %s=%s", (char *)g_ptr_array_index (connection->values.names, i),
         (char *)g_ptr_array_index (connection->values.values, i));
+  if (connection->database->row_pad != NULL)
+    g_string_append_printf (out, " %s", connection->database->row_pad);
   g_string_append (out, "\r\n");
 }
 
@@ -379,6 +382,13 @@
   database->pos = pos;
 }
 
+void
+line_database_set_row_size (LineDatabase *database, gsize size)
+{
+  g_free (database->row_pad);
+  database->row_pad = size > 0 ? g_strnfill (size, 'x') : NULL;
+}
+
 void
 line_database_fail (LineDatabase *database, const char *error)
 {
@@ -458,6 +468,7 @@
     g_string_free (database->held_reply, TRUE);
   g_ptr_array_unref (database->connections);
   g_string_free (database->trace, TRUE);
+  g_free (database->row_pad);
   g_free (database->next_error);
   g_free (database->id);
   g_free (database);
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -26,6 +26,9 @@
 /** Sets the position of its log. */
 void line_database_set_position (LineDatabase *database, TouLogPos pos);
 
+/** Pads the row that answers a READ to @a size bytes; 0: not. */
+void line_database_set_row_size (LineDatabase *database, gsize size);
+
 /** Answers the next statement of a client with @a error. */
 void line_database_fail (LineDatabase *database, const char *error);
 
