Bound the memory and connections that clients can take

Cause: only single messages and replies were limited. Input of all sessions, statements and buffers that had grown, values, prepared statements (also those of ended sessions) and unsent answers had no limit, nor had connections without a first message. Input was searched and moved from its start at each read, so that a message byte by byte cost the square of its length. The readiness port never closed idle connections while nothing arrived.

Change: - src/budget: one account of bytes per process, 40% of limits.memoryMb (new in the settings; no limit of the total if it is missing). Above three quarters, large partial messages are not read, and given up after 2 s; above the limit, the largest holders are closed. - src/session/intake: a session is not read beyond 64 KiB ahead of a statement, begins no statement while 256 KiB are unsent, and is closed if its answers are not read for 5 s. Buffers of more than 1 KiB are released when they are empty. - Sessions have at most 256 values and 256 prepared statements of 2 MiB each; links are reset at 700. Texts of prepared statements are shared, and forgotten when no session uses them, except the last 1,024 or 1 MiB. - Connections of clients and nodes are limited to 64 more than sessions; silent ones give way to others after 2 s. - The search for a line end goes on where it ended. - The HTTP servers look for idle connections once a second. - Large blocks are always mapped, so that freed ones return to the system.

--- a/src/io/settings.c
+++ b/src/io/settings.c
@@ -242,6 +242,40 @@
   g_free (range);
 }
 
+/* toucansessiond reads a file that the platform writes. */
+static const char settings_session_limits[]
+    = "\n## Limits of toucansessiond\n\n"
+      "The settings file of `toucansessiond` is written by the platform. Its "
+      "limits, and those that\nfollow from them or are fixed "
+      "(`docs/design/memory-budget.md`):\n\n"
+      "| limit | from | default | meaning |\n"
+      "|---|---|---|---|\n"
+      "| memory of the VM | `limits.memoryMb` | none | sessions and links "
+      "together hold at most 40% of it, at least 8 MiB; if it is missing, the "
+      "total is not limited |\n"
+      "| large messages | `limits.memoryMb` | none | above 30% of it, partial "
+      "messages of 64 KiB or more wait, for at most 2 s |\n"
+      "| sessions | `limits.maxFds` | required | `limits.maxFds` - 456 |\n"
+      "| connections of clients and nodes | `limits.maxFds` | required | 64 "
+      "more than sessions; above the number of sessions, connections without "
+      "a first message are closed after 2 s |\n"
+      "| message | fixed | 1 MiB | of a client, a node or a database |\n"
+      "| input ahead of a statement | fixed | 64 KiB | reading stops until "
+      "the statement has ended |\n"
+      "| unsent output of a session | fixed | 256 KiB | no statement begins "
+      "until it is written |\n"
+      "| time without reading | fixed | 5 s | a session with unsent output is "
+      "closed |\n"
+      "| session values | fixed | 256, 2 MiB | SET is answered with TOOBIG |\n"
+      "| prepared statements of a session | fixed | 256, 2 MiB | PREPARE is "
+      "answered with TOOBIG |\n"
+      "| the same of another node's session | fixed | 1024, 4 MiB | the "
+      "connection is closed |\n"
+      "| prepared statements of a database connection | fixed | 700, 2 MiB | "
+      "it is reset |\n"
+      "| prepared texts without a session | fixed | 1024, 1 MiB | the one "
+      "unused for longest is forgotten |\n";
+
 void
 tou_settings_format_doc (TouStr *out)
 {
@@ -256,6 +290,7 @@
 
   for (guint i = 0; i < tou_settings_count; i++)
     format_row (text, &tou_settings_table[i]);
+  g_string_append (text, settings_session_limits);
   out->len = text->len;
   out->data = g_string_free (text, FALSE);
 }
--- a/src/session/admin.c
+++ b/src/session/admin.c
@@ -13,12 +13,16 @@
    for operators. */
 #define ADMIN_MAX_CONNECTIONS 16
 #define ADMIN_IDLE_TIMEOUT_S 5
+/* Interval at which idle connections are looked for: without it, connections
+   that send nothing would occupy a port for good once it has the most. */
+#define ADMIN_TIMEOUT_CHECK_MS 1000
 
 typedef struct
 {
   TouAdmin *admin;
   struct MHD_Daemon *daemon;
   uv_poll_t poll;
+  uv_timer_t timer;
 } AdminServer;
 
 struct TouAdmin
@@ -80,6 +84,12 @@
   MHD_run (server->daemon);
 }
 
+static void
+admin_on_timer (uv_timer_t *timer)
+{
+  MHD_run (((AdminServer *)timer->data)->daemon);
+}
+
 static int
 admin_listen (AdminServer *server, TouAdmin *admin, const TouName *listen)
 {
@@ -103,6 +113,10 @@
   uv_poll_init (admin->proxy->loop, &server->poll, info->epoll_fd);
   server->poll.data = server;
   uv_poll_start (&server->poll, UV_READABLE, admin_on_poll);
+  uv_timer_init (admin->proxy->loop, &server->timer);
+  server->timer.data = server;
+  uv_timer_start (&server->timer, admin_on_timer, ADMIN_TIMEOUT_CHECK_MS,
+                  ADMIN_TIMEOUT_CHECK_MS);
   return TOU_OK;
 }
 
@@ -132,6 +146,7 @@
   if (server->daemon == NULL)
     return;
   uv_poll_stop (&server->poll);
+  uv_timer_stop (&server->timer);
   MHD_stop_daemon (server->daemon);
 }
 
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -29,7 +29,7 @@
 client_send (TouClient *client, GString *message)
 {
   if (!client->closing)
-    tou_stream_send ((uv_stream_t *)&client->tcp, message->str, message->len);
+    tou_intake_send (&client->intake, message);
   g_string_free (message, TRUE);
 }
 
@@ -542,7 +542,7 @@
   request->task.done = client_on_result;
   request->task.id = &client->id;
   request->task.text.data = client->id.data + client->id.len + 1;
-  request->task.text.len = client->text->len - client->id.len - 1;
+  request->task.text.len = client->intake.text->len - client->id.len - 1;
   request->task.prepared = prepared;
   if (prepared != NULL)
     request->task.arguments = statement->as.execute.arguments;
@@ -627,6 +627,30 @@
     }
 }
 
+/* Changes the session's values or prepared statements. */
+static void
+client_change_state (TouClient *client, const TouSqlStatement *statement)
+{
+  if (!tou_intake_may_change (&client->intake, statement, &client->values,
+                              client->prepared))
+    {
+      client_answer_error (client, TOU_SQL_E_TOO_LARGE,
+                           "too many session values or prepared statements");
+      return;
+    }
+  if (statement->kind == TOU_SQL_SET)
+    tou_values_set (&client->values, statement->as.set.name,
+                    statement->as.set.value);
+  else if (statement->kind == TOU_SQL_PREPARE)
+    tou_prepared_put (client->prepared, statement);
+  else
+    tou_prepared_remove (client->prepared, statement);
+  tou_intake_set_state (&client->intake, &client->values,
+                        statement->kind == TOU_SQL_SET ? NULL
+                                                       : client->prepared);
+  client_answer_complete (client);
+}
+
 static void
 client_handle_statement (TouClient *client, const TouSqlStatement *statement)
 {
@@ -676,17 +700,9 @@
       client_execute (client, statement);
       return;
     case TOU_SQL_SET:
-      tou_values_set (&client->values, statement->as.set.name,
-                      statement->as.set.value);
-      client_answer_complete (client);
-      return;
     case TOU_SQL_PREPARE:
-      tou_prepared_put (client->prepared, statement);
-      client_answer_complete (client);
-      return;
     case TOU_SQL_DEALLOCATE:
-      tou_prepared_remove (client->prepared, statement);
-      client_answer_complete (client);
+      client_change_state (client, statement);
       return;
     case TOU_SQL_INVALID:
       break;
@@ -704,7 +720,7 @@
 
   client->busy = TRUE;
   TOU_COUNT (client->proxy, STATEMENTS);
-  tou_sql_copy_query (client->text, message, &client->id, &text);
+  tou_sql_copy_query (client->intake.text, message, &client->id, &text);
   plat_wire_decode_statement (&statement, text);
   if (client->state == TOU_SQL_STATE_FAILED)
     client_handle_in_failed_txn (client, &statement);
@@ -798,13 +814,13 @@
   if (client->parsing)
     return;
   client->parsing = TRUE;
-  while (
-      !client->closing && !client->busy
-      && plat_wire_next_line (&line, client->in->str, client->in->len, &used))
+  while (!client->closing && !client->busy
+         && !tou_intake_is_blocked (&client->intake)
+         && tou_intake_next_line (&client->intake, &line, &used))
     client_on_message (client, line);
-  g_string_erase (client->in, 0, (gssize)used);
+  tou_intake_settle (&client->intake, used, client->busy);
   client->parsing = FALSE;
-  if (!client->closing && client->in->len > PLAT_WIRE_MAX_MESSAGE)
+  if (!client->closing && client->intake.in->len > PLAT_WIRE_MAX_MESSAGE)
     client_reject (client, TOU_SQL_E_TOO_LARGE, "message is too long");
 }
 
@@ -818,8 +834,9 @@
       tou_client_close (client);
       return;
     }
-  g_string_append_len (client->in, buf->base, n);
+  g_string_append_len (client->intake.in, buf->base, n);
   client_parse (client);
+  tou_budget_enforce (client->proxy->budget);
 }
 
 static void
@@ -829,8 +846,7 @@
     g_ptr_array_unref (client->request.tried);
   tou_values_clear (&client->values);
   g_hash_table_destroy (client->prepared);
-  g_string_free (client->in, TRUE);
-  g_string_free (client->text, TRUE);
+  tou_intake_clear (&client->intake);
   g_free (client);
 }
 
@@ -855,10 +871,11 @@
   if (client->closing)
     return;
   client->close_requested = TRUE;
-  uv_read_stop ((uv_stream_t *)&client->tcp);
+  tou_intake_stop (&client->intake);
   if (client_is_running (client))
     return;
   client->closing = TRUE;
+  tou_budget_user_clear (&client->intake.user);
   if (client->busy)
     {
       group = tou_group_get (client->proxy, &client->route.group);
@@ -869,6 +886,37 @@
   uv_close ((uv_handle_t *)&client->tcp, client_on_closed);
 }
 
+static TouClient *
+client_of_intake (TouIntake *intake)
+{
+  return TOU_CONTAINER_OF (intake, TouClient, intake);
+}
+
+static void
+client_on_intake_close (TouIntake *intake, const char *reason)
+{
+  TouClient *client = client_of_intake (intake);
+
+  if (client_is_running (client))
+    tou_client_close (client);
+  else
+    client_reject (client, TOU_SQL_E_BUSY, reason);
+}
+
+static void
+client_on_intake_resume (TouIntake *intake)
+{
+  client_parse (client_of_intake (intake));
+}
+
+static const TouIntakeClass client_intake_class
+    = { { "client", tou_intake_evict, tou_intake_check },
+        client_on_intake_close,
+        client_on_intake_resume,
+        client_on_read,
+        TOU_PREPARED_MAX,
+        TOU_PREPARED_MAX_BYTES };
+
 void
 tou_client_accept (TouProxy *proxy, uv_stream_t *server)
 {
@@ -876,8 +924,7 @@
 
   client->proxy = proxy;
   client->pin.on_closed = client_on_link_closed;
-  client->in = g_string_new (NULL);
-  client->text = g_string_new (NULL);
+  tou_intake_init (&client->intake, proxy, &client->tcp, &client_intake_class);
   client->idle_since_us = tou_clock_us ();
   client->list_node.data = client;
   client->prepared = tou_prepared_table_new ();
@@ -892,7 +939,10 @@
       return;
     }
   tou_stream_tune (&client->tcp);
-  uv_read_start ((uv_stream_t *)&client->tcp, tou_stream_alloc, client_on_read);
+  tou_intake_start (&client->intake);
+  if (!tou_proxy_admit_connection (proxy, tou_clock_us ()))
+    client_reject (client, TOU_SQL_E_TOO_MANY_CONNECTIONS,
+                   "too many connections to this node; retry at another one");
 }
 
 void
@@ -919,6 +969,6 @@
   /* An idle session can be closed without loss: the client reconnects to a node
      that can serve it. */
   if (tou_proxy_should_close_sessions (proxy, now_us) && client->started
-      && client->state == TOU_SQL_STATE_IDLE && client->in->len == 0)
+      && client->state == TOU_SQL_STATE_IDLE && client->intake.in->len == 0)
     tou_client_close (client);
 }
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "intake.h"
 #include "link.h"
 
 G_BEGIN_DECLS
@@ -28,7 +29,7 @@
   TouProxy *proxy;
   GList list_node; /**< in the proxy's list */
   uv_tcp_t tcp;
-  GString *in;
+  TouIntake intake;
   gboolean closing;         /**< the connection is being freed */
   gboolean close_requested; /**< closes when its statement ends */
   gboolean parsing;
@@ -49,8 +50,7 @@
   TouLogPos last_commit_pos;
   guint64 idle_since_us;
   gboolean busy; /**< a statement is queued or running */
-  TouSlice id;   /**< of the statement; points into text */
-  GString *text; /**< id and text of the statement */
+  TouSlice id;   /**< of the statement; points into the intake's text */
   TouClientRequest request;
 };
 
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -44,6 +44,9 @@
   TouName gateway_node; /* gateway of the link; empty: direct connection */
   TouSqlValues values;
   GHashTable *prepared; /* set of link_name */
+  gsize prepared_bytes; /* of their shapes */
+  TouBudgetUser user;
+  gsize searched; /* bytes of in without a line end */
   GString *in;
   GString *lines; /* reply to the first step so far */
   gsize row_start;
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -44,11 +44,43 @@
   g_free (link);
 }
 
+/* Accounts for the link's buffers and values. */
+static void
+link_settle (TouLink *link)
+{
+  tou_budget_trim (link->in);
+  tou_budget_set (&link->user, TOU_BUDGET_REPLY,
+                  link->in->len + link->lines->len);
+  tou_budget_set (&link->user, TOU_BUDGET_STATE, link->values.bytes);
+  tou_budget_set (&link->user, TOU_BUDGET_OUTPUT,
+                  uv_stream_get_write_queue_size ((uv_stream_t *)&link->tcp));
+}
+
+static void
+link_on_evict (TouBudgetUser *user)
+{
+  TouLink *link = TOU_CONTAINER_OF (user, TouLink, user);
+
+  TOU_COUNT (link->endpoint->proxy, SESSIONS_EVICTED);
+  tou_link_close (link, "this node is short of memory");
+}
+
+static void
+link_on_check (TouBudgetUser *user, guint64 now_us)
+{
+  (void)now_us;
+  link_settle (TOU_CONTAINER_OF (user, TouLink, user));
+}
+
+static const TouBudgetClass link_budget_class
+    = { "database", link_on_evict, link_on_check };
+
 static void
 link_send (TouLink *link, GString *message)
 {
   tou_stream_send ((uv_stream_t *)&link->tcp, message->str, message->len);
   g_string_free (message, TRUE);
+  link_settle (link);
 }
 
 static void
@@ -104,6 +136,7 @@
   if (link->closed)
     return;
   link->closed = TRUE;
+  tou_budget_user_clear (&link->user);
   link->pin = NULL;
   g_ptr_array_remove_fast (endpoint->links, link);
   if (reason != NULL)
@@ -135,12 +168,30 @@
   uv_close ((uv_handle_t *)&link->tcp, link_on_closed);
 }
 
+static void
+link_forget_prepared (TouLink *link)
+{
+  g_hash_table_remove_all (link->prepared);
+  link->prepared_bytes = 0;
+}
+
 static void
 link_push_step (TouLink *link, LinkStep step)
 {
   g_array_append_val (link->steps, step);
 }
 
+/* Resets the session, which removes its values and prepared statements. */
+static void
+link_put_reset (TouLink *link, GString *out)
+{
+  TOU_COUNT (link->endpoint->proxy, RESETS);
+  link_push_step (link, STEP_RESET);
+  plat_wire_put_reset (out);
+  tou_values_reset (&link->values);
+  link_forget_prepared (link);
+}
+
 /* Sets the link's session values to @a target. The following statements are
    sent without waiting for the replies, because RESET and SET use no slot and
    are not refused. */
@@ -158,11 +209,7 @@
 
       if (step == TOU_VALUES_RESET)
         {
-          TOU_COUNT (link->endpoint->proxy, RESETS);
-          link_push_step (link, STEP_RESET);
-          plat_wire_put_reset (out);
-          tou_values_reset (&link->values);
-          g_hash_table_remove_all (link->prepared);
+          link_put_reset (link, out);
           continue;
         }
       name = g_ptr_array_index (target->names, i);
@@ -175,6 +222,19 @@
     }
 }
 
+/* TRUE if the link has to be reset before the statement is prepared on it. */
+static gboolean
+link_is_full (const TouLink *link, const TouPrepared *prepared)
+{
+  guint n = g_hash_table_size (link->prepared);
+
+  return n > 0 && !link->in_txn
+         && (n >= TOU_PREPARED_LINK_MAX
+             || link->prepared_bytes + strlen (prepared->shape)
+                    > TOU_PREPARED_LINK_MAX_BYTES)
+         && !g_hash_table_contains (link->prepared, prepared->link_name);
+}
+
 static void
 link_put_prepare (TouLink *link, const TouPrepared *prepared, GString *out)
 {
@@ -185,6 +245,7 @@
   plat_wire_put_prepare (out, prepared->link_name, prepared->writes,
                          prepared->shape);
   g_hash_table_add (link->prepared, g_strdup (prepared->link_name));
+  link->prepared_bytes += strlen (prepared->shape);
 }
 
 static void
@@ -218,6 +279,8 @@
   TouTask *task = link->task;
   GString *out = g_string_sized_new (256);
 
+  if (task->prepared != NULL && link_is_full (link, task->prepared))
+    link_put_reset (link, out);
   if (task->values != NULL)
     link_put_values (link, task->values, out);
   if (task->prepared != NULL)
@@ -295,7 +358,7 @@
       /* The other end has reset the session, which removed the prepared
          statements. */
       if (!link->complete && link->error == TOU_SQL_E_UNKNOWN_STATEMENT)
-        g_hash_table_remove_all (link->prepared);
+        link_forget_prepared (link);
       if (!link->setup_failed)
         {
           link_finish (link, TOU_TASK_ANSWERED, reply->state, reply->pos);
@@ -449,11 +512,16 @@
   g_string_append_len (link->in, buf->base, n);
   /* A closed link is freed later by the event loop, so it can be read here. */
   while (!link->closed
-         && plat_wire_next_line (&line, link->in->str, link->in->len, &used))
+         && plat_wire_next_line_after (&line, link->in->str, link->in->len,
+                                       &used, &link->searched))
     link_on_message (link, line);
-  g_string_erase (link->in, 0, (gssize)used);
+  if (used > 0)
+    g_string_erase (link->in, 0, (gssize)used);
+  link->searched -= MIN (link->searched, used);
   if (!link->closed && link->in->len > PLAT_WIRE_MAX_MESSAGE)
     tou_link_close (link, "message too long");
+  link_settle (link);
+  tou_budget_enforce (link->endpoint->proxy->budget);
 }
 
 static void
@@ -512,6 +580,8 @@
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  tou_budget_user_init (&link->user, endpoint->proxy->budget,
+                        &link_budget_class);
   link->in = g_string_new (NULL);
   link->lines = g_string_new (NULL);
   link->steps = g_array_new (FALSE, FALSE, sizeof (LinkStep));
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -9,6 +9,18 @@
 
 #include <string.h>
 
+/* Share of the memory limit for the bytes of sessions and links, in percent.
+   The rest is for the process itself, for a second copy of what is being sent,
+   and for what the allocator cannot return. */
+#define PROXY_BUDGET_SHARE 40
+/* Smallest account: eight messages of the largest size. */
+#define PROXY_MIN_BUDGET ((guint64)8 << 20)
+/* Connections above the limit of sessions: those that receive a refusal, and
+   those of other nodes while the sessions are at their limit. */
+#define PROXY_EXTRA_CONNECTIONS 64
+/* A client sends its first message at once; a connection without one may be
+   closed after this time if others need its place. */
+#define PROXY_STARTUP_US (2 * TOU_US_PER_S)
 /* Maximum number of queued statements per rank and group. At 500 statements per
    second they wait 0.4 s; a longer wait misses the latency objectives. */
 #define PROXY_QUEUE_LIMIT 200
@@ -360,6 +372,44 @@
   return descriptors - MIN (descriptors, PROXY_RESERVED_DESCRIPTORS);
 }
 
+/* Returns the client that has been connected longest without a message. */
+static TouClient *
+proxy_silent_client (const TouProxy *proxy, guint64 now_us)
+{
+  for (const GList *list_node = proxy->clients.head; list_node != NULL;
+       list_node = list_node->next)
+    {
+      TouClient *client = list_node->data;
+
+      if (!client->started && client->config_wait_since_us == 0
+          && now_us >= client->idle_since_us + PROXY_STARTUP_US)
+        return client;
+    }
+  return NULL;
+}
+
+gboolean
+tou_proxy_admit_connection (TouProxy *proxy, guint64 now_us)
+{
+  guint limit = tou_proxy_session_limit (proxy);
+  guint count = proxy->clients.length + proxy->n_relays;
+  TouClient *client;
+
+  if (limit == 0 || (proxy->clients.length <= limit && count <= limit))
+    return TRUE;
+  client = proxy_silent_client (proxy, now_us);
+  if (client != NULL)
+    {
+      tou_client_close (client);
+      return TRUE;
+    }
+  if (tou_relay_close_silent (proxy, now_us - MIN (now_us, PROXY_STARTUP_US))
+      || count <= limit + PROXY_EXTRA_CONNECTIONS)
+    return TRUE;
+  TOU_COUNT (proxy, CONNECTIONS_REFUSED);
+  return FALSE;
+}
+
 int
 tou_proxy_listen (TouProxy *proxy)
 {
@@ -382,6 +432,12 @@
                                          NULL, group_destroy);
   proxy->endpoints = g_hash_table_new (tou_name_hash, tou_name_equal_func);
   g_queue_init (&proxy->clients);
+  g_queue_init (&proxy->new_relays);
+  tou_budget_create (&proxy->budget, settings->memory_bytes > 0
+                                         ? MAX (settings->memory_bytes / 100
+                                                    * PROXY_BUDGET_SHARE,
+                                                PROXY_MIN_BUDGET)
+                                         : 0);
   *out = proxy;
   return TOU_OK;
 }
@@ -403,6 +459,8 @@
       next = list_node->next;
       tou_client_close (list_node->data);
     }
+  while (tou_relay_close_silent (proxy, G_MAXUINT64))
+    ;
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     tou_endpoint_destroy (value);
@@ -410,6 +468,7 @@
   g_hash_table_destroy (proxy->groups);
   tou_routing_destroy (proxy->routing);
   tou_prepared_shapes_destroy ();
+  tou_budget_destroy (proxy->budget);
   g_free (proxy);
 }
 
@@ -586,6 +645,7 @@
     group_tick (value, now_us);
   proxy_check_isolation (proxy, now_us);
   proxy_log_totals (proxy, now_us);
+  tou_budget_check (proxy->budget, now_us);
   for (GList *list_node = proxy->clients.head; list_node != NULL;
        list_node = next)
     {
@@ -648,6 +708,12 @@
                           "%" G_GUINT64_FORMAT "\n",
                           (tou_clock_us () - proxy->store_followed_us)
                               / TOU_US_PER_MS);
+  g_string_append_printf (out,
+                          "# HELP toucanscale_held_bytes bytes held for "
+                          "sessions and database connections\n"
+                          "# TYPE toucanscale_held_bytes gauge\n"
+                          "toucanscale_held_bytes %" G_GUINT64_FORMAT "\n",
+                          tou_budget_total (proxy->budget));
   g_string_append_printf (out,
                           "# TYPE toucanscale_log_dropped_total counter\n"
                           "toucanscale_log_dropped_total %" G_GUINT64_FORMAT
@@ -689,6 +755,23 @@
       (json_int_t)endpoint->newest_pos.position);
 }
 
+static json_t *
+proxy_dump_memory (const TouBudget *budget)
+{
+  return json_pack (
+      "{s:I,s:I,s:I,s:b,s:i,s:I,s:I,s:I,s:I,s:I}", "limit",
+      (json_int_t)tou_budget_limit (budget), "held",
+      (json_int_t)tou_budget_total (budget), "peak",
+      (json_int_t)tou_budget_peak (budget), "tight",
+      tou_budget_is_tight (budget), "holders",
+      (int)tou_budget_n_tracked (budget), "input",
+      (json_int_t)tou_budget_used (budget, TOU_BUDGET_INPUT), "statements",
+      (json_int_t)tou_budget_used (budget, TOU_BUDGET_STATEMENT), "state",
+      (json_int_t)tou_budget_used (budget, TOU_BUDGET_STATE), "replies",
+      (json_int_t)tou_budget_used (budget, TOU_BUDGET_REPLY), "unsent",
+      (json_int_t)tou_budget_used (budget, TOU_BUDGET_OUTPUT));
+}
+
 char *
 tou_proxy_dump (TouProxy *proxy)
 {
@@ -720,10 +803,12 @@
                      "endpoints", endpoints));
     }
   root = json_pack (
-      "{s:s,s:I,s:i,s:i,s:b,s:o}", "node", proxy->settings.node.data, "config",
+      "{s:s,s:I,s:i,s:i,s:i,s:b,s:o,s:o}", "node", proxy->settings.node.data,
+      "config",
       (json_int_t)(proxy->routing != NULL ? proxy->routing->version : 0),
       "sessions", (int)proxy->clients.length, "nodes", (int)proxy->n_nodes,
-      "draining", proxy->draining, "groups", groups);
+      "relays", (int)proxy->n_relays, "draining", proxy->draining, "memory",
+      proxy_dump_memory (proxy->budget), "groups", groups);
   text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   return text;
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "authority.h"
+#include "budget.h"
 #include "clock.h"
 #include "evlog.h"
 #include "freshness.h"
@@ -64,7 +65,12 @@
   X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
   X (PEER_BYTES, "peer_bytes_total", "bytes sent to other nodes")              \
   X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
-  X (HANDOVERS, "handovers_total", "changes of primary run by this node")
+  X (HANDOVERS, "handovers_total", "changes of primary run by this node")      \
+  X (READS_STOPPED, "reads_stopped_total", "pauses in reading a session")      \
+  X (SESSIONS_EVICTED, "sessions_evicted_total", "closed to save memory")      \
+  X (SESSIONS_UNREAD, "sessions_unread_total", "closed: answers not read")     \
+  X (CONNECTIONS_REFUSED, "connections_refused_total", "too many connections") \
+  X (STATE_REFUSED, "state_refused_total", "values and PREPAREs over limits")
 
 typedef enum
 {
@@ -81,11 +87,14 @@
 {
   uv_loop_t *loop;
   TouNodeSettings settings;
+  TouBudget *budget;     /**< bytes held for sessions and links */
   guint64 incarnation;   /**< wall-clock ms of the start */
   TouRouting *routing;   /**< NULL until the first configuration is received */
   GHashTable *groups;    /**< TouName to TouGroup */
   GHashTable *endpoints; /**< TouName (id) to TouEndpoint */
   GQueue clients;        /**< of TouClient */
+  GQueue new_relays;     /**< of TouRelay: not yet assigned to an endpoint */
+  guint n_relays;        /**< connections of other nodes */
   uv_tcp_t listener;
   uv_tcp_t relay_listener;    /**< for sessions of other nodes */
   gboolean placement_due;     /**< select the gateways again */
@@ -190,6 +199,12 @@
 void tou_proxy_destroy (TouProxy *proxy);
 /** Maximum number of sessions, from the limit on file descriptors. */
 guint tou_proxy_session_limit (const TouProxy *proxy);
+
+/**
+ * Makes room for a connection that was just accepted: closes the oldest one
+ * without a session, unless it is recent. @return FALSE if there is no room
+ */
+gboolean tou_proxy_admit_connection (TouProxy *proxy, guint64 now_us);
 /** Starts to accept client connections. */
 int tou_proxy_listen (TouProxy *proxy);
 /** Periodic work; call it every TOU_PROXY_TICK_US. */
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "dispatch.h"
+#include "intake.h"
 #include "stream.h"
 #include "values.h"
 
@@ -42,10 +43,10 @@
   TouProxy *proxy;
   TouName peer;          /* the other node */
   TouEndpoint *endpoint; /* NULL until the session has started */
-  GList list_node;       /* in the endpoint's list */
+  GList list_node;       /* in the endpoint's list, or in new_relays */
   TouQueueItem item;     /* in the endpoint's queue; has rank and deadline */
   uv_tcp_t tcp;
-  GString *in;
+  TouIntake intake;
   gboolean parsing;
   gboolean closing;         /* the connection is being freed */
   gboolean close_requested; /* closes when its statement ends */
@@ -57,7 +58,6 @@
   GHashTable *prepared;
   TouLink *link; /* pinned by the open transaction */
   TouPin pin;
-  GString *text; /* id and text of the statement */
   TouSlice id;
   TouTask task;
 };
@@ -68,7 +68,7 @@
 relay_send (TouRelay *relay, GString *message)
 {
   if (!relay->closing && !relay->close_requested)
-    tou_stream_send ((uv_stream_t *)&relay->tcp, message->str, message->len);
+    tou_intake_send (&relay->intake, message);
   g_string_free (message, TRUE);
 }
 
@@ -79,8 +79,7 @@
 
   tou_values_clear (&relay->values);
   g_hash_table_destroy (relay->prepared);
-  g_string_free (relay->in, TRUE);
-  g_string_free (relay->text, TRUE);
+  tou_intake_clear (&relay->intake);
   g_free (relay);
 }
 
@@ -101,15 +100,18 @@
   if (relay->closing)
     return;
   relay->close_requested = TRUE;
-  uv_read_stop ((uv_stream_t *)&relay->tcp);
+  tou_intake_stop (&relay->intake);
   if (relay->busy && !relay->item.queued)
     return;
   relay->closing = TRUE;
+  relay->proxy->n_relays--;
+  tou_budget_user_clear (&relay->intake.user);
   if (relay->item.queued)
     tou_queue_remove (relay->endpoint->relay_queue, &relay->item);
   relay_release_link (relay);
-  if (relay->endpoint != NULL)
-    g_queue_unlink (&relay->endpoint->relays, &relay->list_node);
+  g_queue_unlink (relay->endpoint != NULL ? &relay->endpoint->relays
+                                          : &relay->proxy->new_relays,
+                  &relay->list_node);
   uv_close ((uv_handle_t *)&relay->tcp, relay_on_closed);
 }
 
@@ -439,6 +441,12 @@
 relay_handle_control (TouRelay *relay, const TouSqlStatement *statement,
                       TouSlice text)
 {
+  if (!tou_intake_may_change (&relay->intake, statement, &relay->values,
+                              relay->prepared))
+    {
+      relay_close (relay);
+      return TRUE;
+    }
   switch (statement->kind)
     {
     case TOU_SQL_SET:
@@ -465,6 +473,9 @@
     case TOU_SQL_DEALLOCATE:
       return FALSE;
     }
+  tou_intake_set_state (&relay->intake, &relay->values,
+                        statement->kind == TOU_SQL_SET ? NULL
+                                                       : relay->prepared);
   relay_answer_complete (relay);
   return TRUE;
 }
@@ -476,7 +487,7 @@
   TouLogPos after;
   TouSlice text;
 
-  tou_sql_copy_query (relay->text, message, &relay->id, &text);
+  tou_sql_copy_query (relay->intake.text, message, &relay->id, &text);
   if (!plat_wire_parse_after (&after, &text))
     {
       TOU_COUNT (relay->proxy, MALFORMED);
@@ -530,6 +541,7 @@
     }
   tou_name_set (&relay->peer, message->user.data, message->user.len);
   relay->endpoint = endpoint;
+  g_queue_unlink (&relay->proxy->new_relays, &relay->list_node);
   g_queue_push_tail_link (&endpoint->relays, &relay->list_node);
   relay_configure_queue (endpoint);
   TOU_COUNT (relay->proxy, RELAY_SESSIONS);
@@ -603,11 +615,12 @@
     return;
   relay->parsing = TRUE;
   while (!relay->close_requested && !relay->busy
-         && plat_wire_next_line (&line, relay->in->str, relay->in->len, &used))
+         && !tou_intake_is_blocked (&relay->intake)
+         && tou_intake_next_line (&relay->intake, &line, &used))
     relay_on_message (relay, line);
-  g_string_erase (relay->in, 0, (gssize)used);
+  tou_intake_settle (&relay->intake, used, relay->busy);
   relay->parsing = FALSE;
-  if (!relay->close_requested && relay->in->len > PLAT_WIRE_MAX_MESSAGE)
+  if (!relay->close_requested && relay->intake.in->len > PLAT_WIRE_MAX_MESSAGE)
     relay_close (relay);
 }
 
@@ -621,8 +634,48 @@
       relay_close (relay);
       return;
     }
-  g_string_append_len (relay->in, buf->base, n);
+  g_string_append_len (relay->intake.in, buf->base, n);
   relay_parse (relay);
+  tou_budget_enforce (relay->proxy->budget);
+}
+
+static TouRelay *
+relay_of_intake (TouIntake *intake)
+{
+  return TOU_CONTAINER_OF (intake, TouRelay, intake);
+}
+
+static void
+relay_on_intake_close (TouIntake *intake, const char *reason)
+{
+  (void)reason;
+  relay_close (relay_of_intake (intake));
+}
+
+static void
+relay_on_intake_resume (TouIntake *intake)
+{
+  relay_parse (relay_of_intake (intake));
+}
+
+static const TouIntakeClass relay_intake_class
+    = { { "node", tou_intake_evict, tou_intake_check },
+        relay_on_intake_close,
+        relay_on_intake_resume,
+        relay_on_read,
+        TOU_PREPARED_RELAY_MAX,
+        TOU_PREPARED_RELAY_MAX_BYTES };
+
+gboolean
+tou_relay_close_silent (TouProxy *proxy, guint64 before_us)
+{
+  TouRelay *relay
+      = proxy->new_relays.head != NULL ? proxy->new_relays.head->data : NULL;
+
+  if (relay == NULL || relay->last_activity_us > before_us)
+    return FALSE;
+  relay_close (relay);
+  return TRUE;
 }
 
 static void
@@ -639,9 +692,11 @@
     }
   relay = g_new0 (TouRelay, 1);
   relay->proxy = proxy;
-  relay->in = g_string_new (NULL);
-  relay->text = g_string_new (NULL);
   relay->list_node.data = relay;
+  relay->last_activity_us = tou_clock_us ();
+  g_queue_push_tail_link (&proxy->new_relays, &relay->list_node);
+  proxy->n_relays++;
+  tou_intake_init (&relay->intake, proxy, &relay->tcp, &relay_intake_class);
   relay->pin.on_closed = relay_on_link_closed;
   relay->pin.relayed = TRUE;
   relay->prepared = tou_prepared_table_new ();
@@ -654,7 +709,10 @@
       return;
     }
   tou_stream_tune (&relay->tcp);
-  uv_read_start ((uv_stream_t *)&relay->tcp, tou_stream_alloc, relay_on_read);
+  tou_intake_start (&relay->intake);
+  if (!tou_proxy_admit_connection (proxy, tou_clock_us ()))
+    relay_reject (relay, TOU_SQL_E_TOO_MANY_CONNECTIONS,
+                  "too many connections to this node");
 }
 
 void
--- a/src/session/relay.h
+++ b/src/session/relay.h
@@ -25,6 +25,13 @@
 /** Starts to accept sessions of other nodes on the address for peers. */
 int tou_relay_listen (TouProxy *proxy);
 
+/**
+ * Closes the oldest connection that has sent nothing since @a before_us.
+ *
+ * @return FALSE if there is none
+ */
+gboolean tou_relay_close_silent (TouProxy *proxy, guint64 before_us);
+
 /** Runs as many queued statements as the links to @a endpoint allow. */
 void tou_relay_dispatch (TouEndpoint *endpoint, guint64 now_us);
 
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -15,6 +15,10 @@
 #define SESSIOND_EXIT_MARGIN_US (600 * TOU_US_PER_MS)
 /* The process ends at the latest this long before it would be killed. */
 #define SESSIOND_LAST_MARGIN_US (100 * TOU_US_PER_MS)
+/* Larger blocks are returned to the system when they are freed. Set explicitly,
+   because malloc raises the value when large blocks are freed, which leaves the
+   memory of a burst of messages with the process. */
+#define SESSIOND_MMAP_BYTES (128 * 1024)
 /* Time to revoke the lease and remove the registration before the exit. */
 #define SESSIOND_DEREGISTER_US (250 * TOU_US_PER_MS)
 
@@ -140,6 +144,7 @@
   memset (&daemon, 0, sizeof daemon);
   daemon.settings_path = settings_path;
   signal (SIGPIPE, SIG_IGN);
+  mallopt (M_MMAP_THRESHOLD, SESSIOND_MMAP_BYTES);
   uv_loop_init (&daemon.loop);
   status = tou_proxy_create (&daemon.proxy, &daemon.loop, settings);
   tou_evlog_init (daemon.proxy->settings.node.data);
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -193,8 +193,9 @@
 /** Owned name/value pairs of a session, in the order of their first SET. */
 typedef struct
 {
-  GPtrArray *names;  /**< of char * */
-  GPtrArray *values; /**< of char * */
+  GPtrArray *names;  /**< of char *; NULL: none */
+  GPtrArray *values; /**< of char *; NULL: none */
+  gsize bytes;       /**< length of all names and values */
 } TouSqlValues;
 
 G_END_DECLS
--- a/src/session/stream.c
+++ b/src/session/stream.c
@@ -16,33 +16,55 @@
 typedef struct
 {
   uv_write_t write;
+  TouStreamWritten on_written; /* or NULL */
+  gpointer user_data;
+  gsize len;
   char data[];
 } StreamWrite;
 
 static void
 stream_on_written (uv_write_t *write, int status)
 {
+  StreamWrite *rest = write->data;
+  gpointer user_data = rest->user_data;
+  TouStreamWritten on_written = rest->on_written;
+  gsize len = rest->len;
+
   (void)status;
-  g_free (write->data);
+  g_free (rest);
+  if (on_written != NULL)
+    on_written (user_data, len);
 }
 
-void
-tou_stream_send (uv_stream_t *stream, const char *data, gsize len)
+gsize
+tou_stream_send_counted (uv_stream_t *stream, const char *data, gsize len,
+                         TouStreamWritten on_written, gpointer user_data)
 {
   uv_buf_t buf = uv_buf_init ((char *)data, (unsigned int)len);
   int written = uv_try_write (stream, &buf, 1);
   StreamWrite *rest;
 
   if (written == (int)len)
-    return;
+    return 0;
   written = MAX (written, 0);
   len -= (gsize)written;
   rest = g_malloc (sizeof *rest + len);
   memcpy (rest->data, data + written, len);
   rest->write.data = rest;
+  rest->on_written = on_written;
+  rest->user_data = user_data;
+  rest->len = len;
   buf = uv_buf_init (rest->data, (unsigned int)len);
-  if (uv_write (&rest->write, stream, &buf, 1, stream_on_written) != 0)
-    g_free (rest);
+  if (uv_write (&rest->write, stream, &buf, 1, stream_on_written) == 0)
+    return len;
+  g_free (rest);
+  return 0;
+}
+
+void
+tou_stream_send (uv_stream_t *stream, const char *data, gsize len)
+{
+  tou_stream_send_counted (stream, data, len, NULL, NULL);
 }
 
 void
--- a/src/session/stream.h
+++ b/src/session/stream.h
@@ -13,6 +13,16 @@
 /** Sends a copy of the bytes; errors are reported by the next read. */
 void tou_stream_send (uv_stream_t *stream, const char *data, gsize len);
 
+/** Called when @a len bytes that were kept have been written or dropped. */
+typedef void (*TouStreamWritten) (gpointer user_data, gsize len);
+
+/**
+ * The same; returns the number of bytes that could not be written and are kept
+ * until @a on_written.
+ */
+gsize tou_stream_send_counted (uv_stream_t *stream, const char *data, gsize len,
+                               TouStreamWritten on_written, gpointer user_data);
+
 /** uv_alloc_cb with one shared buffer: the loop reads one stream at a time. */
 void tou_stream_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf);
 
--- a/src/session/values.h
+++ b/src/session/values.h
@@ -10,10 +10,19 @@
 
 void tou_values_init (TouSqlValues *values);
 void tou_values_clear (TouSqlValues *values);
+guint tou_values_count (const TouSqlValues *values);
 /** Removes all values. */
 void tou_values_reset (TouSqlValues *values);
 void tou_values_set (TouSqlValues *values, TouSlice name, TouSlice value);
 
+/** Maximum number of values of a session, and of bytes of all of them. */
+#define TOU_VALUES_MAX 256
+#define TOU_VALUES_MAX_BYTES ((gsize)2 << 20)
+
+/** FALSE if setting the value would exceed a limit. */
+gboolean tou_values_have_room (const TouSqlValues *values, TouSlice name,
+                               TouSlice value);
+
 typedef enum
 {
   TOU_VALUES_EQUAL,
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -107,7 +107,7 @@
 {
   g_string_append_printf (out, "DATAROW row-of-%s %s", connection->database->id,
                           shape);
-  for (guint i = 0; i < connection->values.names->len; i++)
+  for (guint i = 0; i < tou_values_count (&connection->values); i++)
     g_string_append_printf (
         out, " %s=%s", (char *)g_ptr_array_index (connection->values.names, i),
         (char *)g_ptr_array_index (connection->values.values, i));
