Allocate a session's prepared statements with the first one

Change: the table of a session's prepared statements is created by its first PREPARE, as its values are by its first SET. link_is_full() compares lengths only for statements that the link has not prepared. test-flood has one more test, of 4,000 pipelined statements that must all be answered; the other tests are unchanged.

--- a/src/session/client.c
+++ b/src/session/client.c
@@ -642,12 +642,11 @@
     tou_values_set (&client->values, statement->as.set.name,
                     statement->as.set.value);
   else if (statement->kind == TOU_SQL_PREPARE)
-    tou_prepared_put (client->prepared, statement);
+    tou_prepared_put (&client->prepared, statement);
   else
     tou_prepared_remove (client->prepared, statement);
-  tou_intake_set_state (&client->intake, &client->values,
-                        statement->kind == TOU_SQL_SET ? NULL
-                                                       : client->prepared);
+  tou_intake_set_state (&client->intake, statement, &client->values,
+                        client->prepared);
   client_answer_complete (client);
 }
 
@@ -845,7 +844,7 @@
   if (client->request.tried != NULL)
     g_ptr_array_unref (client->request.tried);
   tou_values_clear (&client->values);
-  g_hash_table_destroy (client->prepared);
+  g_clear_pointer (&client->prepared, g_hash_table_destroy);
   tou_intake_clear (&client->intake);
   g_free (client);
 }
@@ -927,7 +926,6 @@
   tou_intake_init (&client->intake, proxy, &client->tcp, &client_intake_class);
   client->idle_since_us = tou_clock_us ();
   client->list_node.data = client;
-  client->prepared = tou_prepared_table_new ();
   tou_values_init (&client->values);
   uv_tcp_init (proxy->loop, &client->tcp);
   client->tcp.data = client;
--- a/src/session/client.h
+++ b/src/session/client.h
@@ -37,7 +37,7 @@
   guint64 config_wait_since_us; /**< of the first message; 0: none */
   TouName database;
   TouSqlValues values;
-  GHashTable *prepared; /**< statement name to TouPrepared */
+  GHashTable *prepared; /**< statement name to TouPrepared; NULL: none */
   TouSqlState state;
   gboolean read_only; /**< of the open transaction */
   gboolean wrote;     /**< the open transaction has sent a write */
--- a/src/session/intake.c
+++ b/src/session/intake.c
@@ -170,10 +170,10 @@
 }
 
 void
-tou_intake_set_state (TouIntake *intake, const TouSqlValues *values,
-                      GHashTable *prepared)
+tou_intake_set_state (TouIntake *intake, const TouSqlStatement *statement,
+                      const TouSqlValues *values, GHashTable *prepared)
 {
-  if (prepared != NULL)
+  if (statement->kind != TOU_SQL_SET)
     intake->prepared = (guint32)tou_prepared_own_bytes (prepared);
   tou_budget_set (&intake->user, TOU_BUDGET_STATE,
                   values->bytes + intake->prepared);
--- a/src/session/intake.h
+++ b/src/session/intake.h
@@ -74,13 +74,9 @@
                                 const TouSqlValues *values,
                                 GHashTable *prepared);
 
-/**
- * Notes that the session has changed.
- *
- * @param prepared NULL: only values have
- */
-void tou_intake_set_state (TouIntake *intake, const TouSqlValues *values,
-                           GHashTable *prepared);
+/** Notes that @a statement has changed the session. */
+void tou_intake_set_state (TouIntake *intake, const TouSqlStatement *statement,
+                           const TouSqlValues *values, GHashTable *prepared);
 
 /** Callbacks of TouBudgetClass for a TouIntake. */
 void tou_intake_evict (TouBudgetUser *user);
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -229,10 +229,10 @@
   guint n = g_hash_table_size (link->prepared);
 
   return n > 0 && !link->in_txn
+         && !g_hash_table_contains (link->prepared, prepared->link_name)
          && (n >= TOU_PREPARED_LINK_MAX
              || link->prepared_bytes + strlen (prepared->shape)
-                    > TOU_PREPARED_LINK_MAX_BYTES)
-         && !g_hash_table_contains (link->prepared, prepared->link_name);
+                    > TOU_PREPARED_LINK_MAX_BYTES);
 }
 
 static void
--- a/src/session/prepared.c
+++ b/src/session/prepared.c
@@ -116,12 +116,6 @@
   prepared_forget_unused (PREPARED_MAX_UNUSED, PREPARED_MAX_UNUSED_BYTES);
 }
 
-GHashTable *
-tou_prepared_table_new (void)
-{
-  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, prepared_free);
-}
-
 static char *
 prepared_name_dup (TouSlice name)
 {
@@ -131,9 +125,13 @@
 static const TouPrepared *
 prepared_lookup (GHashTable *table, TouSlice slice)
 {
-  char *name = prepared_name_dup (slice);
-  const PreparedEntry *entry = g_hash_table_lookup (table, name);
+  const PreparedEntry *entry;
+  char *name;
 
+  if (table == NULL)
+    return NULL;
+  name = prepared_name_dup (slice);
+  entry = g_hash_table_lookup (table, name);
   g_free (name);
   return entry != NULL ? &entry->prepared : NULL;
 }
@@ -147,6 +145,8 @@
   gpointer value;
   gsize bytes = 0;
 
+  if (table == NULL)
+    return 0;
   g_hash_table_iter_init (&iter, table);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -173,29 +173,36 @@
                 + statement->as.prepare.shape.len;
 
   if (old == NULL)
-    return g_hash_table_size (table) < max && bytes <= max_bytes;
+    return (table == NULL || g_hash_table_size (table) < max)
+           && bytes <= max_bytes;
   return bytes - strlen (old->shape) <= max_bytes;
 }
 
 void
-tou_prepared_put (GHashTable *table, const TouSqlStatement *statement)
+tou_prepared_put (GHashTable **table, const TouSqlStatement *statement)
 {
   PreparedEntry *entry = g_new0 (PreparedEntry, 1);
 
+  if (*table == NULL)
+    *table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                    prepared_free);
   entry->shape = prepared_shape_use (statement->as.prepare.shape,
                                      statement->as.prepare.writes);
   entry->prepared.shape = entry->shape->key + strlen ("W ");
   entry->prepared.link_name = entry->shape->link_name;
   entry->prepared.writes = statement->as.prepare.writes;
-  g_hash_table_replace (table, prepared_name_dup (statement->as.prepare.name),
+  g_hash_table_replace (*table, prepared_name_dup (statement->as.prepare.name),
                         entry);
 }
 
 void
 tou_prepared_remove (GHashTable *table, const TouSqlStatement *statement)
 {
-  char *name = prepared_name_dup (statement->as.deallocate.name);
+  char *name;
 
+  if (table == NULL)
+    return;
+  name = prepared_name_dup (statement->as.deallocate.name);
   g_hash_table_remove (table, name);
   g_free (name);
 }
--- a/src/session/prepared.h
+++ b/src/session/prepared.h
@@ -30,11 +30,13 @@
 #define TOU_PREPARED_RELAY_MAX_BYTES                                           \
   (TOU_PREPARED_LINK_MAX_BYTES + TOU_PREPARED_MAX_BYTES)
 
-/** Creates a table from a session's statement names to TouPrepared. */
-GHashTable *tou_prepared_table_new (void);
-
-/** Adds or replaces the statement that PREPARE @a statement defines. */
-void tou_prepared_put (GHashTable *table, const TouSqlStatement *statement);
+/**
+ * Adds or replaces the statement that PREPARE @a statement defines.
+ *
+ * @param table from a session's statement names to TouPrepared; created for its
+ * first statement. The other functions accept NULL as an empty table.
+ */
+void tou_prepared_put (GHashTable **table, const TouSqlStatement *statement);
 
 /** FALSE if the statement would exceed the limits of a session. */
 gboolean tou_prepared_has_room (GHashTable *table,
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -78,7 +78,7 @@
   TouRelay *relay = handle->data;
 
   tou_values_clear (&relay->values);
-  g_hash_table_destroy (relay->prepared);
+  g_clear_pointer (&relay->prepared, g_hash_table_destroy);
   tou_intake_clear (&relay->intake);
   g_free (relay);
 }
@@ -454,7 +454,7 @@
                       statement->as.set.value);
       break;
     case TOU_SQL_PREPARE:
-      tou_prepared_put (relay->prepared, statement);
+      tou_prepared_put (&relay->prepared, statement);
       break;
     case TOU_SQL_ROLLBACK:
       relay_release_link (relay);
@@ -463,7 +463,7 @@
       if (!tou_slice_is (text, PLAT_WIRE_RESET_TEXT))
         return FALSE;
       tou_values_reset (&relay->values);
-      g_hash_table_remove_all (relay->prepared);
+      g_clear_pointer (&relay->prepared, g_hash_table_destroy);
       break;
     case TOU_SQL_BEGIN:
     case TOU_SQL_COMMIT:
@@ -473,9 +473,8 @@
     case TOU_SQL_DEALLOCATE:
       return FALSE;
     }
-  tou_intake_set_state (&relay->intake, &relay->values,
-                        statement->kind == TOU_SQL_SET ? NULL
-                                                       : relay->prepared);
+  tou_intake_set_state (&relay->intake, statement, &relay->values,
+                        relay->prepared);
   relay_answer_complete (relay);
   return TRUE;
 }
@@ -699,7 +698,6 @@
   tou_intake_init (&relay->intake, proxy, &relay->tcp, &relay_intake_class);
   relay->pin.on_closed = relay_on_link_closed;
   relay->pin.relayed = TRUE;
-  relay->prepared = tou_prepared_table_new ();
   tou_values_init (&relay->values);
   uv_tcp_init (proxy->loop, &relay->tcp);
   relay->tcp.data = relay;
--- a/tests/test-flood.c
+++ b/tests/test-flood.c
@@ -324,6 +324,22 @@
   g_string_free (text, TRUE);
 }
 
+/* Reading that stops ahead of a statement, or statements that wait for answers
+   to be read, and that do not go on. */
+static void
+test_pipelined_statements_are_answered (void **state)
+{
+  FloodNode *node = node_start (4096);
+  GString *text = input_new ("READ x", 60, 4000);
+
+  (void)state;
+  g_string_append (text, "QUERY last READ x\r\n");
+  assert_true (
+      is_answered (node, FLOOD_CLIENTS, text, "COMPLETE proof-db1-last"));
+  check_limits (node, "after the statements");
+  g_string_free (text, TRUE);
+}
+
 /* Input and statements of many sessions that are kept at the same time. */
 static void
 test_large_messages_at_once (void **state)
@@ -498,6 +514,7 @@
 {
   const struct CMUnitTest tests[] = {
     FLOOD_TEST (test_largest_message_is_served),
+    FLOOD_TEST (test_pipelined_statements_are_answered),
     FLOOD_TEST (test_large_messages_at_once),
     FLOOD_TEST (test_large_messages_in_small_pieces),
     FLOOD_TEST (test_messages_over_the_limit),
