--- a/src/session/client.h
+++ b/src/session/client.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "credit.h"
+#include "intake.h"
 #include "link.h"
 
 G_BEGIN_DECLS
@@ -29,7 +30,7 @@
   TouProxy *proxy;
   GList list_node; /**< in the proxy's list */
   uv_tcp_t tcp;
-  GString *in;
+  TouIntake intake;
   gboolean closing;         /**< the connection is being freed */
   gboolean close_requested; /**< closes when its statement ends */
   gboolean parsing;
@@ -40,7 +41,7 @@
   TouName team;            /**< of the running operation; may be empty */
   guint64 checked_version; /**< configuration that the key was checked with */
   TouSqlValues values;
-  GHashTable *prepared; /**< statement name to TouPrepared */
+  GHashTable *prepared; /**< statement name to TouPrepared; NULL: none */
   TouSqlState state;
   gboolean read_only; /**< of the open transaction */
   gboolean wrote;     /**< the open transaction has sent a write */
@@ -52,8 +53,7 @@
   gboolean last_commit_unknown; /**< the last commit returned no position */
   TouLogPos last_commit_pos;
   gboolean busy; /**< a statement is queued or running */
-  TouSlice id;   /**< of the statement; points into text */
-  GString *text; /**< id and text of the statement */
+  TouSlice id;   /**< of the statement; points into the intake's text */
   TouClientRequest request;
   TouCreditWait credit_wait; /**< of the running operation */
   gboolean has_credit;       /**< for an operation that was not sent yet */
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -45,6 +45,9 @@
   TouName team;         /* of a direct connection; empty: none */
   TouSqlValues values;
   GHashTable *prepared; /* set of link_name */
+  gsize prepared_bytes; /* of their shapes */
+  TouBudgetUser user;
+  gsize searched; /* bytes of in without a line end */
   GString *in;
   GString *lines; /* reply to the first step so far */
   gsize row_start;
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -16,6 +16,7 @@
   char *id;
   gboolean primary;
   TouLogPos pos;
+  char *row_pad;
   char *next_error;
   gboolean drop;
   gboolean cut;
@@ -117,10 +118,12 @@
 {
   g_string_append_printf (out, "DATAROW row-of-%s %s", connection->database->id,
                           shape);
-  for (guint i = 0; i < connection->values.names->len; i++)
+  for (guint i = 0; i < tou_values_count (&connection->values); i++)
     g_string_append_printf (
         out, " %s=%s", (char *)g_ptr_array_index (connection->values.names, i),
         (char *)g_ptr_array_index (connection->values.values, i));
+  if (connection->database->row_pad != NULL)
+    g_string_append_printf (out, " %s", connection->database->row_pad);
   g_string_append (out, "\r\n");
 }
 
@@ -405,6 +408,13 @@
   database->pos = pos;
 }
 
+void
+line_database_set_row_size (LineDatabase *database, gsize size)
+{
+  g_free (database->row_pad);
+  database->row_pad = size > 0 ? g_strnfill (size, 'x') : NULL;
+}
+
 void
 line_database_fail (LineDatabase *database, const char *error)
 {
@@ -492,6 +502,7 @@
     g_string_free (database->held_reply, TRUE);
   g_ptr_array_unref (database->connections);
   g_string_free (database->trace, TRUE);
+  g_free (database->row_pad);
   g_free (database->next_error);
   g_free (database->id);
   g_free (database);
