--- a/src/quota/quota-holder.c
+++ b/src/quota/quota-holder.c
@@ -22,6 +22,8 @@
 /* Credit that has not been needed for this long is given up, before it expires
    and is lost to the team. */
 #define HOLDER_UNUSED_US (300 * TOU_US_PER_MS)
+/* Guards sums against malformed messages. */
+#define HOLDER_MAX_RETRY_US (3600 * TOU_US_PER_S)
 /* Time over which the demand is averaged. */
 #define HOLDER_DEMAND_US (500 * TOU_US_PER_MS)
 /* The state of a team that is unused for this long is dropped, and looked for
@@ -409,12 +411,14 @@
 static gint
 holder_team_due (const TouQuotaHolder *holder, HolderTeam *team, guint64 now_us)
 {
-  const TouQuotaLimit *limit
-      = tou_quota_limits_get (holder->limits, &team->team);
+  const TouQuotaLimit *limit;
   const HolderIssuer *issuer;
   gint index;
 
-  if (limit == NULL || holder_team_need (team, now_us) == 0)
+  if (holder_team_need (team, now_us) == 0)
+    return -1;
+  limit = tou_quota_limits_get (holder->limits, &team->team);
+  if (limit == NULL)
     return -1;
   index = holder_choose (holder, team, limit, now_us);
   if (index < 0)
@@ -621,7 +625,7 @@
                  guint64 now_us)
 {
   HolderTeam *team = g_hash_table_lookup (holder->teams, &grant->team);
-  HolderLot lot = { index, grant->granted, now_us,
+  HolderLot lot = { index, MIN (grant->granted, G_MAXUINT32), now_us,
                     holder->issuers[index].sent_us + TOU_QUOTA_CREDIT_US };
 
   if (team == NULL)
@@ -631,7 +635,7 @@
   if (grant->cause == TOU_QUOTA_ENOUGH || grant->cause >= TOU_QUOTA_CAUSES)
     return;
   team->none |= 1U << index;
-  team->none_us[index] = now_us + grant->retry_us;
+  team->none_us[index] = now_us + MIN (grant->retry_us, HOLDER_MAX_RETRY_US);
   team->causes[index] = (guint8)grant->cause;
 }
 
--- a/src/quota/quota-issuer.c
+++ b/src/quota/quota-issuer.c
@@ -12,8 +12,9 @@
    majority to be heard. */
 #define ISSUER_OUTSTANDING_RETRY_US (50 * TOU_US_PER_MS)
 #define ISSUER_MAJORITY_RETRY_US (200 * TOU_US_PER_MS)
-/* Guards sums against numbers from malformed messages. */
+/* Guard conversions and sums against extreme limits and malformed messages. */
 #define ISSUER_MAX_CREDIT G_MAXUINT32
+#define ISSUER_MAX_RETRY_US (3600 * TOU_US_PER_S)
 
 /* Unspent credit of a holder. */
 typedef struct
@@ -180,7 +181,7 @@
   double refill = tou_quota_limits_refill (limit);
   double room = floor (tou_quota_limits_float (issuer->limits, limit))
                 - (double)team->outstanding;
-  double level = team->level > 0 ? ceil (team->level) : 0;
+  double level = CLAMP (ceil (team->level), 0, ISSUER_MAX_CREDIT);
 
   if (room < level)
     {
@@ -191,7 +192,9 @@
   grant->cause = TOU_QUOTA_EMPTY;
   /* Until the level is above 0 after all of it has been granted. */
   grant->retry_us
-      = (guint64)((level - team->level) / refill * (double)TOU_US_PER_S) + 1;
+      = 1
+        + (guint64)MIN ((level - team->level) / refill * (double)TOU_US_PER_S,
+                        (double)ISSUER_MAX_RETRY_US);
   return (guint64)level;
 }
 
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -83,6 +83,7 @@
   guint64 cut_until_us; /* no messages */
   guint64 issuers_us;   /* when it learns of the current issuers */
   guint64 lower_us;     /* when it learns of the lowered limit */
+  guint64 read_us;      /* when it last looked for both */
   guint64 phase_us;
   guint64 incarnation;
   guint64 heard_us[MAX_NODES];
@@ -552,10 +553,11 @@
   if (!node_runs (fleet, node)
       || (fleet->now_us + node->phase_us) % TICK_US >= STEP_US)
     return;
-  if (fleet->now_us >= node->issuers_us)
+  if (node->read_us < node->issuers_us && fleet->now_us >= node->issuers_us)
     node_set_issuers (fleet, node);
-  if (fleet->now_us >= node->lower_us)
+  if (node->read_us < node->lower_us && fleet->now_us >= node->lower_us)
     node_configure (fleet, node);
+  node->read_us = fleet->now_us;
   for (guint i = 0; i < N_TEAMS; i++)
     node_serve (fleet, node, i);
   node_pump (fleet, index);
