Report a node that is cut off from everything at once

A node counted as isolated when the proofs of its records had expired, 1.2 to 1.4 s after the cut, and never while it knew of a change of primary in progress. It is now also isolated when no node, no database and not the store has answered for 0.9 s, and then reports not ready without further delay.

A node that was quiesced because its old primary did not answer stays quiesced for that change: paths change more often now, and the leader may have been told.

The dump shows the state of direct paths. A node that stands in forwards nothing.

--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -164,8 +164,13 @@
     return TRUE;
   primary = tou_group_recorded_primary (group);
   /* Writes in flight cannot end on a primary that does not answer. */
-  return primary == NULL || tou_endpoint_has_failed (primary)
-         || tou_endpoint_writes_in_flight (primary) == 0;
+  if (primary != NULL && !tou_endpoint_has_failed (primary)
+      && tou_endpoint_writes_in_flight (primary) > 0)
+    return FALSE;
+  /* The leader may have been told. A primary that answers again, such as
+     through another gateway, is not to acknowledge these writes. */
+  group->finish_until_us = now_us;
+  return TRUE;
 }
 
 void
@@ -548,11 +553,34 @@
   group_log_load (group, now_us);
 }
 
+/* TRUE if neither nodes, nor databases, nor the store have answered lately. The
+   primary's position is requested more often, and the store is read for proofs
+   when heartbeats fail, so that one of them answers a node that is connected.
+ */
+static gboolean
+proxy_is_cut_off (const TouProxy *proxy, guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!proxy_hears_no_node (proxy, now_us)
+      || now_us < proxy->store_answered_us + PROXY_UNHEARD_US)
+    return FALSE;
+  g_hash_table_iter_init (&iter, proxy->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us
+        < ((const TouEndpoint *)value)->last_received_us + PROXY_UNHEARD_US)
+      return FALSE;
+  return TRUE;
+}
+
 /* A node is isolated if it may use the primary of no group and no primary is
-   being changed. */
+   being changed, or if it is cut off from everything: the proofs of a record
+   and a change of primary that it knows of would hide that. */
 static void
 proxy_check_isolation (TouProxy *proxy, guint64 now_us)
 {
+  gboolean cut_off = proxy_is_cut_off (proxy, now_us);
   gboolean has_record = FALSE;
   gboolean isolated = TRUE;
   GHashTableIter iter;
@@ -570,7 +598,10 @@
       isolated = isolated && !record->moving
                  && !tou_proxy_has_proof (proxy, group, now_us);
     }
-  isolated = isolated && has_record;
+  isolated = (isolated && has_record) || cut_off;
+  /* Nothing has been heard for longer than a lost proof is tolerated. */
+  if (cut_off && proxy->isolated_since_us == 0)
+    now_us -= PROXY_ISOLATED_US;
   if (isolated == (proxy->isolated_since_us != 0))
     return;
   proxy->isolated_since_us = isolated ? now_us : 0;
@@ -723,9 +754,11 @@
 proxy_dump_endpoint (const TouEndpoint *endpoint)
 {
   return json_pack (
-      "{s:s,s:s,s:s,s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id",
+      "{s:s,s:s,s:s,s:b,s:b,s:b,s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id",
       endpoint->info.id.data, "address", endpoint->info.address.data, "gateway",
-      endpoint->gateway.data, "relays", (int)endpoint->relays.length,
+      endpoint->gateway.data, "is_gateway", endpoint->is_gateway,
+      "direct_failed", endpoint->direct_failed_us != 0, "stands_in",
+      endpoint->standin_until_us != 0, "relays", (int)endpoint->relays.length,
       "draining", endpoint->info.draining, "gone", endpoint->removed, "silent",
       endpoint->unreachable_since_us != 0, "links", (int)endpoint->links->len,
       "busy", (int)endpoint->n_busy, "latency_us",
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -265,7 +265,9 @@
 {
   TouQueueItem *item;
 
+  /* A node that stands in uses its own connections only. */
   if (endpoint->relay_queue == NULL || endpoint->direct_failed_us != 0
+      || (endpoint->standin_until_us != 0 && endpoint->gateway.len > 0)
       || tou_endpoint_has_left (endpoint, now_us))
     return;
   while ((item = tou_dispatch_next (endpoint->relay_queue, endpoint, now_us))
