Keep a primary that some of its gateways reach

The leader announced a change of primary as soon as half of the gateways suspected it. When the store failed after that, all writes were refused until it returned, although other gateways reached the primary all the while. While only some of the gateways suspect a primary, the leader now requests its status, and announces no change as long as it answers, for 10 s. A crash that all gateways notice is announced as before; one that part of them notices, up to 200 ms later.

Safety does not change: the rule only withholds an announcement.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -8,6 +8,8 @@
 #define CONTROL_TAKEOVER_DELAY_US (250 * TOU_US_PER_MS)
 /* Interval of status requests during a change of primary. */
 #define CONTROL_STATUS_INTERVAL_US (50 * TOU_US_PER_MS)
+/* Interval of status requests while some gateways suspect the primary. */
+#define CONTROL_SUSPECT_INTERVAL_US (100 * TOU_US_PER_MS)
 /* Interval of step-down requests to a former primary. */
 #define CONTROL_STEP_DOWN_INTERVAL_US (300 * TOU_US_PER_MS)
 /* The registry updates a role some time after the promotion. A recorded primary
@@ -44,6 +46,20 @@
   return tou_panel_has_majority (&proxy->panel, &votes, proxy->n_nodes);
 }
 
+/* The members of the panel and this node request statuses and positions; the
+   results of the former arrive with heartbeats. */
+static guint64
+control_primary_answered_us (const TouGroup *group, const TouEndpoint *primary)
+{
+  const TouSqlStatus *status = &primary->status;
+  guint64 term = tou_authority_record (group->authority)->term;
+
+  return MAX (tou_freshness_newest_us (group->freshness),
+              status->role == TOU_ROLE_PRIMARY && status->term >= term
+                  ? primary->status_us
+                  : 0);
+}
+
 static void
 control_fill_view (const ControlGroup *state, TouHandoverView *out,
                    guint64 now_us)
@@ -75,7 +91,10 @@
   out->n_nodes = control->proxy->n_nodes;
   out->n_reporting = 1 + tou_peers_count_reporting (control->peers, now_us);
   if (primary != NULL)
-    out->n_observing = MIN (primary->n_gateways, out->n_reporting);
+    {
+      out->n_observing = MIN (primary->n_gateways, out->n_reporting);
+      out->primary_answered_us = control_primary_answered_us (group, primary);
+    }
   out->n_suspecting
       = (primary != NULL && tou_endpoint_is_suspect (primary))
         + tou_peers_count_suspecting (control->peers, group, now_us);
@@ -284,6 +303,8 @@
   tou_control_report_logs (state, &view, now_us);
   if (tou_handover_is_active (state->handover) || view.record.revision == 0)
     control_request_statuses (state, CONTROL_STATUS_INTERVAL_US, now_us);
+  else if (tou_handover_is_partly_suspected (&view))
+    control_request_statuses (state, CONTROL_SUSPECT_INTERVAL_US, now_us);
   else if (checks_logs)
     control_request_statuses (state, CONTROL_LOG_CHECK_INTERVAL_US, now_us);
   control_step_down_former (state, now_us);
--- a/src/session/handover.c
+++ b/src/session/handover.c
@@ -22,6 +22,18 @@
    seconds. */
 #define HANDOVER_MISSING_GRACE_US (2500 * TOU_US_PER_MS)
 
+/* The nodes of gateways that do not reach a primary use the others. While only
+   some of the gateways suspect it, and it answers, it is not replaced: that
+   would end all writes, for as long as the store is unavailable meanwhile. */
+/* Time for the first answer to arrive, which the leader requests then. */
+#define HANDOVER_ANSWER_WAIT_US (200 * TOU_US_PER_MS)
+/* An answer counts for this long: several requests and a round trip through a
+   gateway that has to be selected first. */
+#define HANDOVER_ANSWERED_US (600 * TOU_US_PER_MS)
+/* After this time it is replaced although it answers, because fewer gateways
+   have fewer connections. */
+#define HANDOVER_PARTIAL_US (10 * TOU_US_PER_S)
+
 typedef enum
 {
   HANDOVER_IDLE,
@@ -37,6 +49,7 @@
   HandoverStep step;
   HandoverStep next;    /* step after a successful write */
   guint64 resume_us;    /* no action before this time */
+  guint64 suspected_us; /* since when half of the nodes suspect; 0: fewer */
   guint64 announced_us; /* QUIESCE: when the announcement was adopted */
   guint64 majority_us;  /* QUIESCE: when a majority had acknowledged */
   guint64 quiesced_us;  /* since then no node uses the old primary */
@@ -239,8 +252,28 @@
   return FALSE;
 }
 
+gboolean
+tou_handover_is_partly_suspected (const TouHandoverView *view)
+{
+  return view->n_observing > 0 && view->n_suspecting > 0
+         && view->n_suspecting < view->n_observing;
+}
+
+/* TRUE if the primary can be used through gateways that do not suspect it. */
+static gboolean
+handover_can_route_around (const TouHandover *handover,
+                           const TouHandoverView *view, guint64 now_us)
+{
+  if (!tou_handover_is_partly_suspected (view) || view->primary_answered_us == 0
+      || now_us >= handover->suspected_us + HANDOVER_PARTIAL_US)
+    return FALSE;
+  return now_us < MAX (handover->suspected_us + HANDOVER_ANSWER_WAIT_US,
+                       view->primary_answered_us + HANDOVER_ANSWERED_US);
+}
+
 static const char *
-handover_reason (const TouHandoverView *view, guint64 now_us)
+handover_reason (TouHandover *handover, const TouHandoverView *view,
+                 guint64 now_us)
 {
   guint n_observing
       = view->n_observing > 0 ? view->n_observing : view->n_reporting;
@@ -249,17 +282,24 @@
     return "primary is gone";
   if (view->primary_draining)
     return "primary is leaving";
-  if (view->n_suspecting > 0 && view->n_suspecting * 2 >= n_observing
-      && now_us >= view->record_us + HANDOVER_SUSPECT_DELAY_US)
-    return "primary does not answer";
-  return NULL;
+  if (view->n_suspecting == 0 || view->n_suspecting * 2 < n_observing)
+    {
+      handover->suspected_us = 0;
+      return NULL;
+    }
+  if (handover->suspected_us == 0)
+    handover->suspected_us = now_us;
+  return now_us >= view->record_us + HANDOVER_SUSPECT_DELAY_US
+                 && !handover_can_route_around (handover, view, now_us)
+             ? "primary does not answer"
+             : NULL;
 }
 
 static void
 handover_idle (TouHandover *handover, const TouHandoverView *view,
                guint64 now_us, TouHandoverAction *out)
 {
-  const char *reason = handover_reason (view, now_us);
+  const char *reason = handover_reason (handover, view, now_us);
   TouGroupRecord record = view->record;
 
   if (view->record.revision == 0)
@@ -298,7 +338,7 @@
   TouGroupRecord record = view->record;
 
   if (view->record.candidate.len > 0 || handover->step_down_requested
-      || handover_reason (view, now_us) != NULL
+      || handover_reason (handover, view, now_us) != NULL
       || !handover_is_primary (primary, view->record.term)
       || primary->status_us < handover->announced_us)
     return FALSE;
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -49,7 +49,10 @@
   guint n_observing;   /**< nodes with their own connections to the primary;
                             0: all reporting nodes */
   guint n_suspecting;  /**< observing nodes that suspect the primary */
-  guint n_quiesced;    /**< nodes that no longer use the old primary */
+  /** When the request was sent that the primary last answered, as far as this
+      node knows; 0: unknown. */
+  guint64 primary_answered_us;
+  guint n_quiesced; /**< nodes that no longer use the old primary */
   gboolean
       nodes_uncertain; /**< n_nodes may not include all nodes with proofs */
   /** A majority of the voters no longer proves an earlier record. */
@@ -99,6 +102,12 @@
 gboolean tou_handover_is_registry_complete (guint64 available_since_us,
                                             guint64 now_us);
 
+/**
+ * TRUE if some, but not all, of the gateways suspect the primary, so that its
+ * answers are needed to decide.
+ */
+gboolean tou_handover_is_partly_suspected (const TouHandoverView *view);
+
 typedef struct TouHandover TouHandover;
 
 int tou_handover_create (TouHandover **out);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -812,6 +812,8 @@
       view->n_observing = (guint)arg_number (command, 6);
       view->majority_has_record = view->n_quiesced * 2 > view->n_nodes;
     }
+  else if (arg_is (command, 0, "primary-answered"))
+    view->primary_answered_us = arg_us (command, 1);
   else if (arg_is (command, 0, "is-registered"))
     put_yes_no (
         script, command->rest,
