Bound the loop of a test of the pace

Cause: with a pace that never grows, test_repeated_starts did not end.

Change: it fails after 1,000 answers.

--- a/tests/test-pace.c
+++ b/tests/test-pace.c
@@ -747,6 +747,7 @@
       tou_pace_begin (&pace, TOU_PACE_ANSWERS, 0, now_us);
       for (answers[i] = 0; !tou_pace_is_done (&pace, 6, now_us); answers[i]++)
         {
+          assert_true (answers[i] < 1000);
           answer.sent_us = now_us;
           answer.service_us = 10 * TOU_US_PER_MS;
           now_us += TOU_US_PER_MS;
