Let a new panel spread only when most of its members can prove records

Cause: nodes took a new panel over with the next heartbeat.

Change: a node forwards a panel only when a majority of its members report to have read the store up to it.

Ruled out: proofs of members that have not read the store; they may lack older records.

Result: test-panel, test_unknown_panel_does_not_spread fails before. The test of outdated panels relied on the forwarding; it now gives the panel to all nodes, and checks the same.

--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -366,6 +366,27 @@
     pack_name (packer, &names[i]);
 }
 
+/* TRUE if a majority of the panel has read the store up to the panel's record.
+   Before that its members prove nothing to nodes that have the panel. If the
+   store fails right after the panel was written, only its writer may have it.
+ */
+static gboolean
+peers_panel_proves (const TouPeers *peers)
+{
+  const TouProxy *proxy = peers->proxy;
+  const TouPanel *panel = &proxy->panel;
+  guint count = tou_panel_contains (panel, &proxy->settings.node)
+                && proxy->store_revision >= panel->revision;
+
+  for (guint i = 0; i < panel->n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
+
+      count += peer != NULL && peer->store_revision >= panel->revision;
+    }
+  return count * 2 > panel->n_members;
+}
+
 /* A peer that reported an older panel gets this node's. */
 static void
 peers_pack_panel (msgpack_packer *packer, const TouPeers *peers,
@@ -373,7 +394,7 @@
 {
   const TouPanel *panel = &peers->proxy->panel;
 
-  if (peer->panel_revision >= panel->revision)
+  if (peer->panel_revision >= panel->revision || !peers_panel_proves (peers))
     {
       msgpack_pack_nil (packer);
       return;
--- a/tests/test-panel.c
+++ b/tests/test-panel.c
@@ -163,7 +163,8 @@
 
   (void)state;
   fleet_start (&fleet);
-  hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
+  for (guint i = 0; i < FLEET_MAX_NODES; i++)
+    hbfleet_adopt_panel (&fleet, i, 7, OUTSIDE);
   hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
   assert_int_equal (fleet.proxies[OUTSIDE]->panel.revision, 7);
   assert_false (hbfleet_is_valid (&fleet, 2, 5));
@@ -171,6 +172,23 @@
   hbfleet_clear (&fleet);
 }
 
+/* If the store fails right after a panel was written, only its writer has it.
+   The other nodes must not lose the proofs of its predecessor to it. */
+static void
+test_unknown_panel_does_not_spread (void **state)
+{
+  HbFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
+  hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
+  assert_int_equal (fleet.proxies[OUTSIDE]->panel.revision, 5);
+  assert_false (hbfleet_is_valid (&fleet, 2, 5));
+  assert_true (hbfleet_is_valid (&fleet, FLEET_MAX_NODES - 1, 5));
+  hbfleet_clear (&fleet);
+}
+
 /* Each node would ask each primary for its position; instead, one member's
    answer reaches all, and is never taken for newer than it is. */
 static void
@@ -227,6 +245,7 @@
           cmocka_unit_test (test_isolated_panel_proves_nothing),
           cmocka_unit_test (test_panel_is_replaced),
           cmocka_unit_test (test_outdated_panel_proves_nothing),
+          cmocka_unit_test (test_unknown_panel_does_not_spread),
           cmocka_unit_test (test_position_is_shared),
           cmocka_unit_test (test_silent_node_is_reported) };
 
