Add the rate of an issuer's waiting time to its bucket

Cause: an issuer waits 1 s after its start, until credit of its last process has expired, and then began with its start level alone.

Change: the bucket fills while the issuer waits. Ruled out: a shorter wait, which the hoarder of the property test would use to exceed the bound.

--- a/src/quota/quota-issuer.c
+++ b/src/quota/quota-issuer.c
@@ -90,13 +90,13 @@
   g_free (issuer);
 }
 
-/* Returns the level of a bucket that had @a level at @a updated_us. Nothing is
-   added before the issuer issues: a restart would add its start level again. */
+/* Returns the level of a bucket that had @a level at @a updated_us. While a new
+   issuer waits, its share of the rate is not used and adds up. */
 static double
 issuer_level (const TouQuotaIssuer *issuer, const TouQuotaLimit *limit,
               double level, guint64 updated_us, guint64 now_us)
 {
-  guint64 from_us = MAX (updated_us, limit->since_us + ISSUER_START_WAIT_US);
+  guint64 from_us = MAX (updated_us, limit->since_us);
 
   if (now_us > from_us)
     level += tou_quota_limits_refill (limit) * (double)(now_us - from_us)
