Decay an endpoint's latency by the time passed, not by ticks

Two things depended on the load of the machine. The average of a failed replica fell by one step a tick, so late ticks kept it idle for longer. And the script compared the handshake times of two links, measured in a busy process: the replica whose handshake took over 1 ms stays behind the nearer one, as it should.

Change: a step is taken for every 200 ms that have passed. The script states the round-trip time of both replicas (new command "round-trip"); what it checks is unchanged.

--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -43,8 +43,11 @@
 /* A draining endpoint is no longer used this long before its drain limit. */
 #define ENDPOINT_LEAVING_MARGIN_US TOU_US_PER_S
 /* Interval without samples after which the average latency falls by an eighth:
-   the penalty of a failed statement is gone after about five seconds. */
+   the penalty of a failed statement is gone after about seven seconds. */
 #define ENDPOINT_LATENCY_DECAY_US (200 * TOU_US_PER_MS)
+/* Steps after which an average has all but reached the round-trip time: of
+   500 ms, the largest sample of a failure, 0.1 ms are left. */
+#define ENDPOINT_LATENCY_DECAY_STEPS 64
 /* Interval of connection attempts to an unreachable endpoint. Attempts through
    a gateway, which itself retries at the shorter interval, come from all
    nodes. */
@@ -174,19 +177,25 @@
 }
 
 /* An endpoint that was slow or failed gets no reads while others are faster.
-   Its average decays without samples, so that it is tried again. */
+   Its average decays without samples, so that it is tried again. A step is
+   taken for each interval that has passed: on a busy VM ticks are late, and one
+   step a tick would keep the endpoint idle for longer. */
 static void
 endpoint_decay_latency (TouEndpoint *endpoint, guint64 now_us)
 {
   guint64 rtt_us = MIN (endpoint->window.rtt_us, endpoint->latency_us);
+  guint64 excess_us = endpoint->latency_us - rtt_us;
+  guint64 n_steps
+      = (now_us - endpoint->latency_updated_us) / ENDPOINT_LATENCY_DECAY_US;
 
-  if (now_us < endpoint->latency_updated_us + ENDPOINT_LATENCY_DECAY_US)
+  if (now_us < endpoint->latency_updated_us || n_steps == 0)
     return;
+  for (guint64 i = 0; i < MIN (n_steps, ENDPOINT_LATENCY_DECAY_STEPS); i++)
+    excess_us = tou_window_average (excess_us, 0);
   /* The round-trip time does not decay, so that near databases stay
      preferred over distant ones. */
-  endpoint->latency_us
-      = rtt_us + tou_window_average (endpoint->latency_us - rtt_us, 0);
-  endpoint->latency_updated_us = now_us;
+  endpoint->latency_us = rtt_us + excess_us;
+  endpoint->latency_updated_us += n_steps * ENDPOINT_LATENCY_DECAY_US;
 }
 
 gboolean
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -237,6 +237,17 @@
   g_hash_table_insert (script->proxy->endpoints, &endpoint->info.id, endpoint);
 }
 
+/* The handshake of a link takes as long as the machine is busy, and reads
+   prefer the nearer database. */
+static void
+run_round_trip (Script *script, char **words)
+{
+  TouName id = tou_name (words[1]);
+  TouEndpoint *endpoint = g_hash_table_lookup (script->proxy->endpoints, &id);
+
+  tou_window_round_trip (&endpoint->window, strtoull (words[2], NULL, 10));
+}
+
 /* Makes the second node the gateway of the database. */
 static void
 run_via (Script *script, char **words)
@@ -681,6 +692,8 @@
   g_string_append_printf (script->out, "-- %s\n", line);
   if (strcmp (words[0], "db") == 0)
     run_db (script, words);
+  else if (strcmp (words[0], "round-trip") == 0)
+    run_round_trip (script, words);
   else if (strcmp (words[0], "via") == 0)
     run_via (script, words);
   else if (strcmp (words[0], "place") == 0)
--- a/tests/support/proxy-script.h
+++ b/tests/support/proxy-script.h
@@ -5,6 +5,7 @@
  *
  *     descriptors N                 limit of the process
  *     db ID primary|replica         starts a database
+ *     round-trip ID US              bounds the measured round-trip time
  *     position ID TERM.POSITION     sets the database's log position
  *     via ID LIMIT                  reaches the database through a gateway node
  *                                   with a connection limit
