Issue a restarted issuer's rate at once and wait for credit briefly

Change: an issuer whose predecessor was its own last process issues its rate from its start on, and its start level after a second; only an issuer that takes over from another node waits. The sum of a window is the same: until then bucket and credit together are at most the capacity. Operations wait up to 300 ms for credit while it has been short for less than a second. A tenth of the capacity, not a quarter, is left to urgent operations. The state of issuers without credit for urgent operations is cleared with the others.

--- a/src/quota/quota-holder.c
+++ b/src/quota/quota-holder.c
@@ -24,6 +24,10 @@
 #define HOLDER_UNUSED_US (300 * TOU_US_PER_MS)
 /* Guards sums against malformed messages. */
 #define HOLDER_MAX_RETRY_US (3600 * TOU_US_PER_S)
+/* While credit has been short for less than this time, operations wait for it:
+   a team whose backlog passes, such as after a restart, is served later instead
+   of refused. One that exceeds its limit for longer is refused at once. */
+#define HOLDER_SHORTAGE_US (1 * TOU_US_PER_S)
 /* Time over which the demand is averaged. */
 #define HOLDER_DEMAND_US (500 * TOU_US_PER_MS)
 /* The state of a team that is unused for this long is dropped, and looked for
@@ -57,6 +61,7 @@
   guint32 none_urgent; /* those without credit for urgent operations either */
   guint32 dirty;       /* issuers whose credit was used since the last report */
   guint64 dirty_us;    /* since when; 0: nothing to report */
+  guint64 short_us;    /* since when credit has been short; 0: it is not */
   guint64 none_us[TOU_QUOTA_MAX_ISSUERS]; /* when credit is expected */
   guint8 causes[TOU_QUOTA_MAX_ISSUERS];   /* TouQuotaCause */
   GList link;
@@ -147,6 +152,7 @@
 
       g_array_set_size (team->lots, 0);
       team->none = 0;
+      team->none_urgent = 0;
       team->dirty = 0;
     }
 }
@@ -267,17 +273,30 @@
   return cause == TOU_QUOTA_STARTING || cause == TOU_QUOTA_NO_MAJORITY;
 }
 
+/* TRUE if operations of a team wait until issuers have credit again. */
+static gboolean
+holder_team_is_patient (const HolderTeam *team, guint64 now_us)
+{
+  return team->short_us != 0 && now_us < team->short_us + HOLDER_SHORTAGE_US;
+}
+
 /* Begins a round if no operation waits: issuers that may have credit again are
-   asked again. Those that could not issue are asked again in any case. */
+   asked again. Those that could not issue are asked again in any case. While
+   credit has been short for a short time, a round follows when all issuers have
+   been asked. */
 static void
-holder_team_begin_round (HolderTeam *team, guint64 now_us)
+holder_team_begin_round (HolderTeam *team, const TouQuotaLimit *limit,
+                         guint32 silent, guint64 now_us)
 {
+  gboolean again = team->waiting == team->urgent
+                   || (holder_team_is_patient (team, now_us)
+                       && (limit->issuers & ~(team->none | silent)) == 0);
+
   for (guint i = 0; i < TOU_QUOTA_MAX_ISSUERS; i++)
     if (now_us >= team->none_us[i])
       {
         team->none_urgent &= ~(1U << i);
-        if (team->waiting == team->urgent
-            || holder_is_temporary (team->causes[i]))
+        if (again || holder_is_temporary (team->causes[i]))
           team->none &= ~(1U << i);
       }
 }
@@ -301,6 +320,9 @@
       }
   refusal->retry_us = until_us - MIN (until_us, now_us);
   refusal->temporary = holder_is_temporary (refusal->cause);
+  if (holder_team_is_patient (team, now_us)
+      && until_us < now_us + TOU_QUOTA_WAIT_US)
+    return FALSE;
   return (limit->issuers & ~(none | silent)) == 0;
 }
 
@@ -321,7 +343,7 @@
   if ((urgent ? team->urgent : team->waiting) == 0
       && holder_team_use (holder, team, now_us, credit))
     return TOU_QUOTA_TAKEN;
-  holder_team_begin_round (team, now_us);
+  holder_team_begin_round (team, limit, holder_silent (holder, now_us), now_us);
   return holder_team_is_refused (holder, team, limit, urgent, now_us, refusal)
              ? TOU_QUOTA_REFUSED
              : TOU_QUOTA_WAIT;
@@ -391,13 +413,13 @@
 holder_choose (const TouQuotaHolder *holder, HolderTeam *team,
                const TouQuotaLimit *limit, guint64 now_us)
 {
+  guint32 silent = holder_silent (holder, now_us);
   guint32 usable;
   gint best = -1;
 
-  holder_team_begin_round (team, now_us);
+  holder_team_begin_round (team, limit, silent, now_us);
   usable = limit->issuers
-           & ~((team->urgent > 0 ? team->none_urgent : team->none)
-               | holder_silent (holder, now_us));
+           & ~((team->urgent > 0 ? team->none_urgent : team->none) | silent);
   for (guint i = 0; i < holder->n_issuers; i++)
     {
       const HolderIssuer *issuer = &holder->issuers[i];
@@ -652,8 +674,12 @@
     return;
   if (grant->granted > 0)
     g_array_append_val (team->lots, lot);
+  if (grant->cause == TOU_QUOTA_ENOUGH)
+    team->short_us = 0;
   if (grant->cause == TOU_QUOTA_ENOUGH || grant->cause >= TOU_QUOTA_CAUSES)
     return;
+  if (team->short_us == 0)
+    team->short_us = now_us;
   team->none |= 1U << index;
   if (grant->cause != TOU_QUOTA_RESERVED)
     team->none_urgent |= 1U << index;
--- a/src/quota/quota-holder.h
+++ b/src/quota/quota-holder.h
@@ -104,6 +104,12 @@
 /** Number of teams with state. */
 guint tou_quota_holder_count (const TouQuotaHolder *holder);
 
+/**
+ * An operation waits this long for credit: time for a lost message and a round
+ * of the other issuers.
+ */
+#define TOU_QUOTA_WAIT_US (300 * TOU_US_PER_MS)
+
 /** Interval of requests to other nodes: the 25 ms of a tick less its jitter. */
 #define TOU_QUOTA_REQUEST_INTERVAL_US (24 * TOU_US_PER_MS)
 
--- a/src/quota/quota-issuer.c
+++ b/src/quota/quota-issuer.c
@@ -5,16 +5,20 @@
 /* A holder's sequence numbers are forgotten after this time. Later replies are
    of no use to it, because the credit in them has expired. */
 #define ISSUER_HOLDER_IDLE_US (5 * TOU_US_PER_S)
-/* A new issuer waits until the credit of its predecessor, which may have been
-   this node's last process, has expired. */
-#define ISSUER_START_WAIT_US TOU_QUOTA_CREDIT_US
+/* For this long after an issuer has started, credit of its predecessor may be
+   in use. If that is another node, which may also still issue, it waits.
+   Otherwise the predecessor was this node's last process: it issues its rate at
+   once, and the rest of its start level afterwards. */
+#define ISSUER_START_US TOU_QUOTA_CREDIT_US
+/* A new bucket forgets a debt of up to one credit, so it starts with one. */
+#define ISSUER_START_LEVEL (-1.0)
 /* Time until holders ask again: for use of credit to be reported, and for a
    majority to be heard. */
 #define ISSUER_OUTSTANDING_RETRY_US (50 * TOU_US_PER_MS)
 #define ISSUER_MAJORITY_RETRY_US (200 * TOU_US_PER_MS)
 /* Share of an issuer's capacity that only urgent operations use. These are few,
    and would otherwise be refused under a flood of less urgent ones. */
-#define ISSUER_RESERVE_SHARE 0.25
+#define ISSUER_RESERVE_SHARE 0.1
 /* Time until a holder asks again for what is not urgent. */
 #define ISSUER_RESERVED_RETRY_US (100 * TOU_US_PER_MS)
 /* Guard conversions and sums against extreme limits and malformed messages. */
@@ -35,6 +39,7 @@
   double level;
   guint64 updated_us;
   guint64 since_us; /* of the limit when the bucket was started */
+  gboolean started; /* the start level has been added */
   guint64 outstanding;
   GArray *grants; /* of IssuerGrant, at most one for each holder */
 } IssuerTeam;
@@ -90,6 +95,12 @@
   g_free (issuer);
 }
 
+static gboolean
+issuer_is_starting (const TouQuotaLimit *limit, guint64 now_us)
+{
+  return now_us < limit->since_us + ISSUER_START_US;
+}
+
 /* Returns the level of a bucket that had @a level at @a updated_us. While a new
    issuer waits, its share of the rate is not used and adds up. */
 static double
@@ -109,8 +120,11 @@
 issuer_unused_level (const TouQuotaIssuer *issuer, const TouQuotaLimit *limit,
                      guint64 now_us)
 {
-  return issuer_level (
-      issuer, limit, tou_quota_limits_start (issuer->limits, limit), 0, now_us);
+  double level = ISSUER_START_LEVEL;
+
+  if (!issuer_is_starting (limit, now_us))
+    level += tou_quota_limits_start (issuer->limits, limit);
+  return issuer_level (issuer, limit, level, 0, now_us);
 }
 
 static void
@@ -128,6 +142,19 @@
     }
 }
 
+/* Returns the level of a bucket whose issuer has just started. The last process
+   may have left a whole float, so this bucket and its unspent credit are at
+   most its capacity. */
+static double
+issuer_start_limit (const TouQuotaIssuer *issuer, const TouQuotaLimit *limit,
+                    const IssuerTeam *team)
+{
+  double room = tou_quota_limits_capacity (issuer->limits, limit)
+                - (double)team->outstanding;
+
+  return MIN (team->level, MAX (room, ISSUER_START_LEVEL));
+}
+
 /* Returns the state of a team as of now. */
 static IssuerTeam *
 issuer_team_get (TouQuotaIssuer *issuer, const TouQuotaLimit *limit,
@@ -145,13 +172,23 @@
   if (team->updated_us == 0 || team->since_us != limit->since_us)
     {
       team->since_us = limit->since_us;
+      team->started = !issuer_is_starting (limit, now_us);
       team->level = issuer_unused_level (issuer, limit, now_us);
     }
   else
-    team->level
-        = issuer_level (issuer, limit, team->level, team->updated_us, now_us);
+    {
+      if (!team->started && !issuer_is_starting (limit, now_us))
+        {
+          team->started = TRUE;
+          team->level += tou_quota_limits_start (issuer->limits, limit);
+        }
+      team->level
+          = issuer_level (issuer, limit, team->level, team->updated_us, now_us);
+    }
   team->updated_us = now_us;
   issuer_team_expire (team, now_us);
+  if (issuer_is_starting (limit, now_us))
+    team->level = issuer_start_limit (issuer, limit, team);
   return team;
 }
 
@@ -267,10 +304,10 @@
   grant->cause = TOU_QUOTA_NO_MAJORITY;
   if (!may_issue)
     return;
-  if (now_us < limit->since_us + ISSUER_START_WAIT_US)
+  if (limit->succeeds && issuer_is_starting (limit, now_us))
     {
       grant->cause = TOU_QUOTA_STARTING;
-      grant->retry_us = limit->since_us + ISSUER_START_WAIT_US - now_us;
+      grant->retry_us = limit->since_us + ISSUER_START_US - now_us;
       return;
     }
   available = issuer_team_available (issuer, team, limit, grant);
--- a/src/quota/quota-limits.c
+++ b/src/quota/quota-limits.c
@@ -140,8 +140,9 @@
 {
   TouQuotaLimit *limit = g_hash_table_lookup (limits->teams, team);
   gboolean was_issuer = FALSE;
+  gboolean is_new = limit == NULL;
 
-  if (limit == NULL)
+  if (is_new)
     {
       limit = g_new0 (TouQuotaLimit, 1);
       limit->team = *team;
@@ -153,8 +154,10 @@
   limit->rate = rate_per_s;
   limit->burst = burst;
   limits_select (limits, limit);
-  if (!was_issuer)
-    limit->since_us = now_us;
+  if (was_issuer)
+    return;
+  limit->since_us = now_us;
+  limit->succeeds = !is_new;
 }
 
 static gboolean
@@ -220,6 +223,7 @@
 {
   GArray *sorted = g_array_new (FALSE, FALSE, sizeof (TouName));
   guint32 old_self = limits->self_mask;
+  gboolean had_issuers = limits->n_issuers > 0;
   GHashTableIter iter;
   gpointer value;
 
@@ -246,8 +250,10 @@
           gboolean was_issuer = (limit->issuers & old_self) != 0;
 
           limits_select (limits, limit);
-          if (!was_issuer)
-            limit->since_us = now_us;
+          if (was_issuer)
+            continue;
+          limit->since_us = now_us;
+          limit->succeeds = had_issuers;
         }
     }
   g_array_unref (sorted);
@@ -295,10 +301,9 @@
   return limits_float (limits, limit, n) / n;
 }
 
-/* A new bucket forgets a debt of up to one credit, so it starts with one. */
 double
 tou_quota_limits_start (const TouQuotaLimits *limits,
                         const TouQuotaLimit *limit)
 {
-  return limits_start (limits, limit) / MAX (limit->n_issuers, 1) - 1;
+  return limits_start (limits, limit) / MAX (limit->n_issuers, 1);
 }
--- a/src/quota/quota-limits.h
+++ b/src/quota/quota-limits.h
@@ -36,12 +36,13 @@
 typedef struct
 {
   TouName team;
-  double rate;      /**< operations per second */
-  double burst;     /**< operations */
-  guint64 since_us; /**< since when this node issues or knows the limit */
-  guint32 issuers;  /**< bit mask of the issuers of this team */
-  guint n_issuers;  /**< number of bits in issuers */
-  guint update;     /**< last update that contained the team */
+  double rate;       /**< operations per second */
+  double burst;      /**< operations */
+  guint64 since_us;  /**< since when this node issues or knows the limit */
+  gboolean succeeds; /**< it took the share over from another node then */
+  guint32 issuers;   /**< bit mask of the issuers of this team */
+  guint n_issuers;   /**< number of bits in issuers */
+  guint update;      /**< last update that contained the team */
 } TouQuotaLimit;
 
 typedef struct TouQuotaLimits TouQuotaLimits;
@@ -87,7 +88,7 @@
                                   const TouQuotaLimit *limit);
 double tou_quota_limits_float (const TouQuotaLimits *limits,
                                const TouQuotaLimit *limit);
-/** Level of a bucket when its issuer begins to issue; may be below 0. */
+/** Operations that a new bucket receives when its issuer has started. */
 double tou_quota_limits_start (const TouQuotaLimits *limits,
                                const TouQuotaLimit *limit);
 
--- a/src/session/credit.c
+++ b/src/session/credit.c
@@ -2,9 +2,6 @@
 
 #include "quota-issuer.h"
 
-/* An operation waits this long for credit: time for a lost message and a round
-   of the other issuers. */
-#define CREDIT_WAIT_US (300 * TOU_US_PER_MS)
 /* Hint for operations that no issuer answered in time. */
 #define CREDIT_RETRY_US (100 * TOU_US_PER_MS)
 /* Interval at which the issuers and their distances are read again. */
@@ -276,7 +273,7 @@
                       : NULL;
 
   wait->waiting = TRUE;
-  wait->until_us = MIN (wait->deadline_us, now_us + CREDIT_WAIT_US);
+  wait->until_us = MIN (wait->deadline_us, now_us + TOU_QUOTA_WAIT_US);
   wait->link.data = wait;
   if (before != NULL)
     g_queue_insert_before_link (&team->waits, before, &wait->link);
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -21,7 +21,6 @@
 #define SLACK 20
 #define STEP_US TOU_US_PER_MS
 #define TICK_US (25 * TOU_US_PER_MS)
-#define WAIT_US (300 * TOU_US_PER_MS)
 #define HEARTBEAT_US (200 * TOU_US_PER_MS)
 #define HEARD_US TOU_US_PER_S
 /* Silent nodes are replaced as issuers after this time. */
@@ -407,7 +406,7 @@
 {
   guint at = (guint)g_rand_int_range (fleet->rand, 0, (gint32)fleet->n_nodes);
   Node *node = &fleet->nodes[at];
-  Waiter waiter = { FALSE, fleet->now_us + WAIT_US };
+  Waiter waiter = { FALSE, fleet->now_us + TOU_QUOTA_WAIT_US };
   TouQuotaCredit credit;
   TouQuotaRefusal refusal = { 0 };
 
@@ -878,6 +877,10 @@
   tou_quota_holder_on_reply (holder, &reply, now_us);
   while (tou_quota_holder_take_stock (holder, &team, now_us, &credit))
     ;
+  /* The others wait at first, and are refused when credit is short for long. */
+  assert_false (
+      tou_quota_holder_is_refused (holder, &team, FALSE, now_us, &refusal));
+  now_us += TOU_US_PER_S;
   assert_true (
       tou_quota_holder_is_refused (holder, &team, FALSE, now_us, &refusal));
   tou_quota_holder_set_waiting (holder, &team, 0, 0, now_us);
@@ -900,8 +903,8 @@
 }
 
 /* Guards against operations that are refused, or wait in vain, because the only
- * issuer has just started: it does not issue yet, but will within their time.
- */
+ * issuer has just taken over: it does not issue yet, but will within their
+ * time. */
 static void
 test_issuer_that_starts (void **state)
 {
@@ -922,10 +925,11 @@
   for (guint i = 0; i < 2; i++)
     {
       tou_quota_limits_create (&limits[i], i == 0 ? &self : &other, &bounds);
-      tou_quota_limits_set_issuers (limits[i], &other, 1, now_us);
+      tou_quota_limits_set_issuers (limits[i], &self, 1, now_us);
       tou_quota_limits_begin_update (limits[i]);
       tou_quota_limits_set (limits[i], &team, 10, 10, now_us);
       tou_quota_limits_end_update (limits[i]);
+      tou_quota_limits_set_issuers (limits[i], &other, 1, now_us);
     }
   tou_quota_holder_create (&holder, &self, 1, limits[0]);
   tou_quota_issuer_create (&issuer, &other, limits[1]);
@@ -953,6 +957,44 @@
     tou_quota_limits_destroy (limits[i]);
 }
 
+/* Guards against a second without operations after a restart of an issuer: its
+ * predecessor was its own last process, so it issues its rate at once, but not
+ * the start level, which a process that restarts again would issue again. */
+static void
+test_issuer_that_restarts (void **state)
+{
+  TouName team = tou_name ("team");
+  TouName self = tou_name ("issuer");
+  const TouQuotaBounds bounds = { WINDOW_US, EXCESS, SLACK };
+  TouQuotaRequest request = { tou_name ("holder"), 1, 1, 1, { { .held = 0 } } };
+  guint64 now_us = TOU_US_PER_S;
+  guint64 granted = 0;
+  TouQuotaLimits *limits;
+  TouQuotaIssuer *issuer;
+  TouQuotaReply reply;
+
+  (void)state;
+  tou_quota_limits_create (&limits, &self, &bounds);
+  tou_quota_limits_set_issuers (limits, &self, 1, now_us);
+  tou_quota_limits_set (limits, &team, 40, 40, now_us);
+  tou_quota_issuer_create (&issuer, &self, limits);
+  request.entries[0].team = team;
+  request.entries[0].want = G_MAXUINT32;
+  for (guint i = 0; i < 39; i++)
+    {
+      now_us += TICK_US;
+      request.sequence = i + 1;
+      assert_true (
+          tou_quota_issuer_on_request (issuer, &reply, &request, TRUE, now_us));
+      granted += reply.entries[0].granted;
+      if (i == 7)
+        assert_in_range (granted, 1, 8);
+    }
+  assert_in_range (granted, 20, 39);
+  tou_quota_issuer_destroy (issuer);
+  tou_quota_limits_destroy (limits);
+}
+
 /* Guards against credit that is used twice or after it has expired. */
 static void
 test_messages (void **state)
@@ -1011,6 +1053,7 @@
       = { cmocka_unit_test (test_messages),
           cmocka_unit_test (test_hoarder),
           cmocka_unit_test (test_issuer_that_starts),
+          cmocka_unit_test (test_issuer_that_restarts),
           cmocka_unit_test (test_reserve_for_urgent_operations),
           cmocka_unit_test (test_calm),
           cmocka_unit_test (test_faults) };
