Read the replies of issuers before operations are refused after a pause

Timers run before sockets, so after a pause of over 300 ms operations were refused although the replies that they waited for had arrived.

Change: the tick that follows a pause of 100 ms does nothing; replies are read before the next one. The test prints why an operation was refused.

--- a/src/session/credit.c
+++ b/src/session/credit.c
@@ -8,6 +8,9 @@
 #define CREDIT_ISSUERS_US (200 * TOU_US_PER_MS)
 /* Interval at which unused state is dropped. */
 #define CREDIT_SWEEP_US (1 * TOU_US_PER_S)
+/* After this time without a tick the process has been paused: the replies of
+   issuers that arrived meanwhile are read before operations are refused. */
+#define CREDIT_PAUSE_US (100 * TOU_US_PER_MS)
 /* Refusals of a team are logged at most once in this time. */
 #define CREDIT_LOG_US (1 * TOU_US_PER_S)
 
@@ -35,6 +38,8 @@
   guint n_nodes;
   guint64 issuers_us; /* when they were read */
   guint64 swept_us;
+  guint64 ticked_us;
+  gboolean paused; /* before the last tick */
 };
 
 static gboolean credit_on_message (gpointer context,
@@ -517,6 +522,11 @@
 void
 tou_credit_tick (TouCredit *credit, guint64 now_us)
 {
+  credit->paused = !credit->paused && credit->ticked_us != 0
+                   && now_us >= credit->ticked_us + CREDIT_PAUSE_US;
+  credit->ticked_us = now_us;
+  if (credit->paused)
+    return;
   if (credit->limits != NULL)
     {
       credit_update_issuers (credit, now_us);
--- a/tests/test-credit.c
+++ b/tests/test-credit.c
@@ -125,6 +125,8 @@
     uv_run (&nodes->fleet.loop, UV_RUN_ONCE);
   assert_int_equal (operation->n_done, 1);
   assert_false (operation->wait.waiting);
+  if (!operation->granted)
+    print_message ("refused: %s\n", operation->reason);
   return operation->granted;
 }
 
@@ -252,6 +254,34 @@
   nodes_clear (&nodes);
 }
 
+/* Guards against refusals after a pause of the process: the replies of issuers
+   that arrived in it have not been read yet. */
+static void
+test_pause (void **state)
+{
+  Nodes nodes;
+  Operation operation;
+  guint64 now_us;
+  TouCredit *credit;
+
+  (void)state;
+  nodes_init (&nodes, TOU_PANEL_SIZE + 1);
+  for (guint i = 0; i < nodes.fleet.n_nodes; i++)
+    hbfleet_adopt_panel (&nodes.fleet, i, 3, 0);
+  nodes_set_limit (&nodes, RATE, BURST);
+  credit = nodes.credits[TOU_PANEL_SIZE];
+  now_us = tou_clock_us ();
+  tou_credit_tick (credit, now_us);
+  assert_int_equal (operation_start (&operation, &nodes, TOU_PANEL_SIZE),
+                    TOU_CREDIT_WAITING);
+  now_us = operation.wait.until_us;
+  tou_credit_tick (credit, now_us);
+  assert_int_equal (operation.n_done, 0);
+  tou_credit_tick (credit, now_us + TOU_PROXY_TICK_US);
+  assert_int_equal (operation.n_done, 1);
+  nodes_clear (&nodes);
+}
+
 /* Without limits there is no cost. */
 static void
 test_no_limits (void **state)
@@ -276,7 +306,9 @@
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (test_no_limits), cmocka_unit_test (test_waits_end),
+      = { cmocka_unit_test (test_no_limits),
+          cmocka_unit_test (test_waits_end),
+          cmocka_unit_test (test_pause),
           cmocka_unit_test (test_credit_of_other_nodes),
           cmocka_unit_test (test_credit_of_panel),
           cmocka_unit_test (test_minority_refuses) };
