Stop listening and close idle sessions on an isolated node

Change: an isolated node closes its listening socket until it hears something again, and idle sessions 500 ms after it is isolated instead of 2.2 s, which was the time of the platform's health checks.

--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -48,6 +48,8 @@
 /* The platform sends no new connections after two failed health checks, 1 s
    apart; idle sessions are closed after that. */
 #define PROXY_CLOSE_IDLE_US (2200 * TOU_US_PER_MS)
+/* The same for an isolated node, which accepts no connections. */
+#define PROXY_CLOSE_ISOLATED_US (500 * TOU_US_PER_MS)
 
 /* The target latency of a statement is the strictest latency objective divided
    by this: an operation has several statements and round trips. */
@@ -405,13 +407,20 @@
     proxy_set_quotas (proxy);
 }
 
+gboolean
+tou_proxy_is_isolated (const TouProxy *proxy, guint64 now_us)
+{
+  return proxy->isolated_since_us != 0
+         && now_us >= proxy->isolated_since_us + PROXY_ISOLATED_US;
+}
+
 gboolean
 tou_proxy_should_close_sessions (const TouProxy *proxy, guint64 now_us)
 {
   if (proxy->draining)
     return now_us >= proxy->drain_us + PROXY_CLOSE_IDLE_US;
   return proxy->isolated_since_us != 0
-         && now_us >= proxy->isolated_since_us + PROXY_CLOSE_IDLE_US;
+         && now_us >= proxy->isolated_since_us + PROXY_CLOSE_ISOLATED_US;
 }
 
 gboolean
@@ -421,8 +430,7 @@
   gpointer value;
 
   if (proxy->draining || proxy->routing == NULL || !proxy->synced
-      || (proxy->isolated_since_us != 0
-          && tou_clock_us () >= proxy->isolated_since_us + PROXY_ISOLATED_US))
+      || tou_proxy_is_isolated (proxy, tou_clock_us ()))
     return FALSE;
   g_hash_table_iter_init (&iter, proxy->endpoints);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -491,9 +499,46 @@
 int
 tou_proxy_listen (TouProxy *proxy)
 {
-  return tou_stream_listen (proxy->loop, &proxy->listener,
-                            &proxy->settings.clients_listen, PROXY_BACKLOG,
-                            proxy, proxy_on_connection);
+  int status = tou_stream_listen (proxy->loop, &proxy->listener,
+                                  &proxy->settings.clients_listen,
+                                  PROXY_BACKLOG, proxy, proxy_on_connection);
+
+  /* The handle is also to be closed if listening fails. */
+  proxy->listener_state = TOU_LISTENER_OPEN;
+  return status;
+}
+
+static void
+proxy_on_listener_closed (uv_handle_t *handle)
+{
+  TouProxy *proxy = handle->data;
+
+  proxy->listener_state = TOU_LISTENER_CLOSED;
+}
+
+void
+tou_proxy_close_listener (TouProxy *proxy)
+{
+  if (proxy->listener_state != TOU_LISTENER_OPEN)
+    return;
+  proxy->listener_state = TOU_LISTENER_CLOSING;
+  uv_close ((uv_handle_t *)&proxy->listener, proxy_on_listener_closed);
+}
+
+/* An isolated node does not listen: a client whose connection is refused uses
+   another node and loses no try, as it would by an error. */
+static void
+proxy_update_listener (TouProxy *proxy, guint64 now_us)
+{
+  if (tou_proxy_is_isolated (proxy, now_us))
+    tou_proxy_close_listener (proxy);
+  else if (proxy->listener_state == TOU_LISTENER_CLOSED
+           && tou_proxy_listen (proxy) != TOU_OK)
+    {
+      tou_evlog (TOU_EVLOG_FAILURE, "listen", "\"error\":\"%s\"",
+                 tou_status_message ());
+      tou_proxy_close_listener (proxy);
+    }
 }
 
 int
@@ -746,6 +791,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     group_tick (value, now_us);
   proxy_check_isolation (proxy, now_us);
+  proxy_update_listener (proxy, now_us);
   proxy_log_totals (proxy, now_us);
   tou_budget_check (proxy->budget, now_us);
   for (GList *list_node = proxy->clients.head; list_node != NULL;
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -105,6 +105,15 @@
 /** Number of buckets of the latency histogram; bucket i ends at 2^i ms. */
 #define TOU_LATENCY_BUCKETS 14
 
+/** State of the socket for clients. */
+typedef enum
+{
+  TOU_LISTENER_NONE, /**< not started */
+  TOU_LISTENER_OPEN,
+  TOU_LISTENER_CLOSING,
+  TOU_LISTENER_CLOSED /**< until the node is no longer isolated */
+} TouListenerState;
+
 struct TouProxy
 {
   uv_loop_t *loop;
@@ -119,6 +128,7 @@
   GQueue new_relays;     /**< of TouRelay: not yet assigned to an endpoint */
   guint n_relays;        /**< connections of other nodes */
   uv_tcp_t listener;
+  TouListenerState listener_state;
   uv_tcp_t relay_listener;    /**< for sessions of other nodes */
   gboolean placement_due;     /**< select the gateways again */
   guint64 placed_us;          /**< when the gateways were last selected */
@@ -237,10 +247,14 @@
 gboolean tou_proxy_admit_connection (TouProxy *proxy, guint64 now_us);
 /** Starts to accept client connections. */
 int tou_proxy_listen (TouProxy *proxy);
+/** Stops accepting connections if the node accepts them. */
+void tou_proxy_close_listener (TouProxy *proxy);
 /** Periodic work; call it every TOU_PROXY_TICK_US. */
 void tou_proxy_tick (TouProxy *proxy, guint64 now_us);
 /** Replaces the configuration if @a routing is newer; takes ownership. */
 void tou_proxy_set_routing (TouProxy *proxy, TouRouting *routing);
+/** TRUE if this node has been isolated for longer than a lost proof. */
+gboolean tou_proxy_is_isolated (const TouProxy *proxy, guint64 now_us);
 /** TRUE if idle sessions should be closed: draining or isolated. */
 gboolean tou_proxy_should_close_sessions (const TouProxy *proxy,
                                           guint64 now_us);
--- a/tests/test-isolation.c
+++ b/tests/test-isolation.c
@@ -11,9 +11,16 @@
 #include "link.h"
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "stream.h"
+
+#include "support/peer-address.h"
 
 /* Two heartbeats are missing. */
 #define SILENT_US (950 * TOU_US_PER_MS)
+#define PORT ":8125"
 
 typedef struct
 {
@@ -127,6 +134,53 @@
   node_clear (&node);
 }
 
+static gboolean
+node_accepts (const Node *node)
+{
+  struct sockaddr_in address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int error;
+
+  assert_true (fd >= 0);
+  assert_int_equal (
+      tou_stream_address (&address, &node->proxy->settings.clients_listen),
+      TOU_OK);
+  error = connect (fd, (const struct sockaddr *)&address, sizeof address);
+  close (fd);
+  return error == 0;
+}
+
+/* Guards against connections to a node that is cut off: each would use up a try
+ * of its client. The node accepts them again when it hears something. */
+static void
+test_connections (void **state)
+{
+  TouName *address;
+  Node node;
+
+  (void)state;
+  node_init (&node, FALSE);
+  /* No other process uses the IP address, so every port is free. */
+  address = &node.proxy->settings.clients_listen;
+  *address = peer_address ();
+  g_strlcpy (strrchr (address->data, ':'), PORT, sizeof PORT);
+  address->len = (guint8)strlen (address->data);
+  assert_int_equal (tou_proxy_listen (node.proxy), TOU_OK);
+  assert_true (node_accepts (&node));
+  for (guint i = 0; i < 2; i++)
+    {
+      tou_proxy_tick (node.proxy, tou_clock_us ());
+      uv_run (&node.loop, UV_RUN_NOWAIT);
+      assert_false (node_accepts (&node));
+    }
+  node.proxy->node_heard_us = tou_clock_us ();
+  tou_proxy_tick (node.proxy, tou_clock_us ());
+  assert_true (node_accepts (&node));
+  tou_proxy_close_listener (node.proxy);
+  uv_run (&node.loop, UV_RUN_NOWAIT);
+  node_clear (&node);
+}
+
 int
 main (void)
 {
@@ -134,6 +188,7 @@
     cmocka_unit_test (test_cut_off),
     cmocka_unit_test (test_one_answers),
     cmocka_unit_test (test_single_node),
+    cmocka_unit_test (test_connections),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
