Give back the credit of a client that closes while it waits

Cause: found at reading: a client that closed while its operation waited for a database kept the credit of its team until it expired. Two functions wrote the same refusal; tou_queue_pop_rank() had no caller.

Change: the credit is given back, one function refuses with a hint, and the unused one is removed.

--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -535,12 +535,6 @@
   return queue_take (queue, queue_choose (queue, connection));
 }
 
-TouQueueItem *
-tou_queue_pop_rank (TouQueue *queue, TouRank rank)
-{
-  return queue_take (queue, queue_head (&queue->ranks[rank], TRUE));
-}
-
 /* Result of the search for an item of one rank. */
 typedef struct
 {
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -124,9 +124,6 @@
  */
 void tou_queue_refund (TouQueue *queue, const TouQueueItem *item);
 
-/** Removes and returns the next item of @a rank, or returns NULL. */
-TouQueueItem *tou_queue_pop_rank (TouQueue *queue, TouRank rank);
-
 /** TRUE if @a item, dispatched at @a now_us, can meet its deadline. */
 gboolean tou_queue_is_in_time (const TouQueue *queue, const TouQueueItem *item,
                                guint64 now_us);
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -115,6 +115,17 @@
     tou_link_unpin (link);
 }
 
+/* Gives back the credit of an operation that has not been run. */
+static void
+client_return_credit (TouClient *client)
+{
+  /* At the end of the process there is none. */
+  if (client->has_credit && client->proxy->credit != NULL)
+    tou_credit_return (client->proxy->credit, &client->credit_wait,
+                       tou_clock_us ());
+  client->has_credit = FALSE;
+}
+
 /* Fails the statement and the open transaction, if any. */
 static void
 client_fail (TouClient *client, TouSqlError code, const char *reason,
@@ -122,10 +133,7 @@
 {
   gboolean in_doubt = code == TOU_SQL_E_IN_DOUBT;
 
-  if (client->has_credit)
-    tou_credit_return (client->proxy->credit, &client->credit_wait,
-                       tou_clock_us ());
-  client->has_credit = FALSE;
+  client_return_credit (client);
   if (in_doubt)
     TOU_COUNT (client->proxy, IN_DOUBT);
   else
@@ -212,15 +220,15 @@
   return TRUE;
 }
 
-/* Refuses a statement because of the queue's limits. */
+/* Refuses a statement that may be served after @a retry_us. */
 static void
-client_refuse_queued (TouClient *client, int status, guint64 retry_us)
+client_refuse_for (TouClient *client, const char *reason, guint64 retry_us)
 {
-  char reason[CLIENT_TEXT_MAX];
+  char text[CLIENT_TEXT_MAX];
 
-  g_snprintf (reason, sizeof reason, "%s; retry after %" G_GUINT64_FORMAT " ms",
-              tou_status_text (status), retry_us / TOU_US_PER_MS);
-  client_fail (client, TOU_SQL_E_BUSY, reason, NULL);
+  g_snprintf (text, sizeof text, "%s; retry after %" G_GUINT64_FORMAT " ms",
+              reason, retry_us / TOU_US_PER_MS);
+  client_fail (client, TOU_SQL_E_BUSY, text, NULL);
 }
 
 /* Refuses a statement that gave its place to one of another team. */
@@ -230,7 +238,7 @@
   TouClient *client = tou_client_of_item (item);
 
   TOU_COUNT (client->proxy, EVICTED);
-  client_refuse_queued (client, TOU_E_QUEUE_FULL, retry_us);
+  client_refuse_for (client, tou_status_text (TOU_E_QUEUE_FULL), retry_us);
   client_parse (client);
 }
 
@@ -263,7 +271,7 @@
   status = tou_queue_push (client_queue (client, group), &request->item, now_us,
                            &retry_us, &evicted);
   if (status != TOU_OK)
-    client_refuse_queued (client, status, retry_us);
+    client_refuse_for (client, tou_status_text (status), retry_us);
   else if (evicted != NULL)
     client_evict (evicted, retry_us);
 }
@@ -603,16 +611,6 @@
     tou_dispatch_group (tou_group_get (client->proxy, &client->route.group));
 }
 
-static void
-client_refuse_quota (TouClient *client, guint64 retry_us, const char *reason)
-{
-  char text[CLIENT_TEXT_MAX];
-
-  g_snprintf (text, sizeof text, "%s; retry after %" G_GUINT64_FORMAT " ms",
-              reason, retry_us / TOU_US_PER_MS);
-  client_fail (client, TOU_SQL_E_BUSY, text, NULL);
-}
-
 static void
 client_on_credit (TouCreditWait *wait, gboolean granted, guint64 retry_us,
                   const char *reason)
@@ -623,7 +621,7 @@
   if (granted)
     client_submit (client);
   else
-    client_refuse_quota (client, retry_us, reason);
+    client_refuse_for (client, reason, retry_us);
   if (!client->busy)
     client_parse (client);
 }
@@ -657,7 +655,7 @@
     case TOU_CREDIT_WAITING:
       break;
     case TOU_CREDIT_REFUSED:
-      client_refuse_quota (client, retry_us, reason);
+      client_refuse_for (client, reason, retry_us);
       break;
     }
 }
@@ -1050,7 +1048,7 @@
     return;
   client->closing = TRUE;
   tou_budget_user_clear (&client->intake.user);
-  client->has_credit = FALSE;
+  client_return_credit (client);
   if (client->credit_wait.waiting)
     {
       /* At the end of the process, the waits have been dropped before. */
