Add a check of a configuration before it is sent

Cause: nodes reject a configuration with an invalid team as a whole, ignore invalid routes and groups and use defaults for invalid numbers; an operator learns that only from their logs, after it is in force.

Exit codes: 0 no problems, 1 problems, 2 unreadable.

--- a/src/io/ctl-options.c
+++ b/src/io/ctl-options.c
@@ -19,7 +19,8 @@
   KEY_JSON,
   KEY_AUTHOR,
   KEY_REASON,
-  KEY_REVISION
+  KEY_REVISION,
+  KEY_AGAINST
 };
 
 static const struct argp_option options[]
@@ -41,6 +42,8 @@
           "reason for the change; required for exceptions", 0 },
         { "expected-revision", KEY_REVISION, "N", 0,
           "revision of the entry to replace; 0 creates the entry", 0 },
+        { "against", KEY_AGAINST, "FILE", 0,
+          "configuration in force, which config check compares with", 0 },
         { NULL, 0, NULL, 0, NULL, 0 } };
 
 static const char doc[]
@@ -56,11 +59,14 @@
       "  config set KIND NAME VALUE    set an entry; VALUE is JSON, @FILE or "
       "-\n"
       "  config delete KIND NAME       delete an entry\n"
+      "  config check FILE             check a configuration of "
+      "toucansessiond\n"
       "  errors                        print the result codes as Markdown\n"
       "KIND is group, default or exception.\n\n"
       "Exit codes: 0 success, 1 refused, 2 no such entry, 3 conflict with "
       "another change, 4 the change may have taken effect, 5 the proxy "
-      "does not answer, 6 not ready, 64 invalid command line.\n";
+      "does not answer, 6 not ready, 64 invalid command line. config check: 0 "
+      "no problems, 1 problems found, 2 a file cannot be read.\n";
 
 static guint64
 parse_number (struct argp_state *state, const char *flag, const char *text,
@@ -87,6 +93,13 @@
     argp_error (state, "unexpected argument \"%s\"", arg);
 }
 
+gboolean
+tou_ctl_is_check (const TouCtlOptions *options)
+{
+  return options->n_args > 1 && strcmp (options->args[0], "config") == 0
+         && strcmp (options->args[1], "check") == 0;
+}
+
 static void
 check_config (const TouCtlOptions *out, struct argp_state *state)
 {
@@ -95,8 +108,14 @@
   gboolean remove = strcmp (verb, "delete") == 0;
   gboolean list = strcmp (verb, "list") == 0;
 
+  if (tou_ctl_is_check (out))
+    {
+      if (out->n_args != 3)
+        argp_error (state, "config check requires FILE");
+      return;
+    }
   if (!set && !remove && !list && strcmp (verb, "get") != 0)
-    argp_error (state, "config requires list, get, set or delete");
+    argp_error (state, "config requires list, get, set, delete or check");
   if (out->n_args != (list ? 2 : 4))
     argp_error (state, list ? "config list takes no arguments"
                             : "KIND and NAME are required");
@@ -157,10 +176,15 @@
       out->expected_revision
           = parse_number (state, "expected-revision", arg, 0, G_MAXINT64);
       break;
+    case KEY_AGAINST:
+      out->against = arg;
+      break;
     case ARGP_KEY_ARG:
       add_argument (out, state, arg);
       break;
     case ARGP_KEY_END:
+      if (out->against != NULL && !tou_ctl_is_check (out))
+        argp_error (state, "--against is for config check");
       check_command (out, state);
       break;
     default:
--- a/src/io/ctl.h
+++ b/src/io/ctl.h
@@ -28,6 +28,7 @@
   const char *ca_file;
   const char *author;
   const char *reason;
+  const char *against; /**< config check: file of the version in force */
   guint64 expected_revision;
   guint64 timeout_ms;
   gboolean json;
@@ -50,7 +51,10 @@
 /** Parses the command line; an invalid one ends the process with EX_USAGE. */
 void tou_ctl_parse (TouCtlOptions *out, int argc, char **argv);
 
-/** Runs the command and returns a TouCtlExit. */
+/** TRUE if the command is "config check", which needs no proxy. */
+gboolean tou_ctl_is_check (const TouCtlOptions *options);
+
+/** Runs any other command and returns a TouCtlExit. */
 int tou_ctl_run (const TouCtlOptions *options);
 
 /** Sends the request and receives the response; fails with TOU_E_IO. */
