--- a/src/check/check.c
+++ b/src/check/check.c
@@ -126,36 +126,37 @@
                    "may exceed that of the database");
 }
 
-/* Returns the number of keys that a team has and @a other does not accept for
-   it; all of them if @a other is NULL. */
-static guint
-check_count_keys (const TouRouting *routing, const TouRouting *other,
-                  const TouName *team)
+/* Returns the numbers of keys by team, TouName to guint: those that @a other
+   does not accept for the team; all of them if @a other is NULL. */
+static GHashTable *
+check_count_keys (const TouRouting *routing, const TouRouting *other)
 {
+  GHashTable *counts = g_hash_table_new (tou_name_hash, tou_name_equal_func);
   GHashTableIter iter;
   gpointer key;
   gpointer value;
-  guint n = 0;
 
   if (routing->keys == NULL)
-    return 0;
+    return counts;
   g_hash_table_iter_init (&iter, routing->keys);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
+      TouTeam *team = value;
       const TouTeam *known = other != NULL && other->keys != NULL
                                  ? g_hash_table_lookup (other->keys, key)
                                  : NULL;
+      guint n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, &team->name));
 
-      n += tou_name_equal (&((const TouTeam *)value)->name, team)
-           && (known == NULL || !tou_name_equal (&known->name, team));
+      if (known == NULL || !tou_name_equal (&known->name, &team->name))
+        g_hash_table_insert (counts, &team->name, GUINT_TO_POINTER (n + 1));
     }
-  return n;
+  return counts;
 }
 
 static void
-check_team (TouCheck *check, const TouRouting *routing, const TouTeam *team)
+check_team (TouCheck *check, const TouTeam *team, GHashTable *n_keys)
 {
-  if (check_count_keys (routing, NULL, &team->name) == 0)
+  if (!g_hash_table_contains (n_keys, &team->name))
     tou_check_add (check, TOU_CHECK_UNUSED, "team", team->name.data,
                    "it has no API key");
   /* An operation uses a whole credit. */
@@ -184,6 +185,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  GHashTable *n_keys;
 
   g_hash_table_iter_init (&iter, routing->routes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -196,9 +198,11 @@
                    "an idle limit of 0 ms ends every transaction");
   if (routing->teams == NULL)
     return;
+  n_keys = check_count_keys (routing, NULL);
   g_hash_table_iter_init (&iter, routing->teams);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    check_team (check, routing, value);
+    check_team (check, value, n_keys);
+  g_hash_table_unref (n_keys);
   if (g_hash_table_size (routing->teams) > 0)
     check_anonymous (check, routing);
 }
@@ -322,26 +326,22 @@
                      ((const TouName *)key)->data, "removed");
 }
 
-/* Adds the numbers of keys that @a team has in @a routing only. */
+/* Adds the numbers of keys that teams have in @a routing only. */
 static void
 check_compare_keys (TouCheck *check, const TouRouting *routing,
                     const TouRouting *other, const char *change)
 {
+  GHashTable *counts = check_count_keys (routing, other);
   GHashTableIter iter;
-  gpointer key;
-  guint n;
-
-  if (routing->teams == NULL)
-    return;
-  g_hash_table_iter_init (&iter, routing->teams);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      n = check_count_keys (routing, other, key);
-      if (n > 0)
-        tou_check_add (check, TOU_CHECK_CHANGE, "team",
-                       ((const TouName *)key)->data, "API keys %s: %u", change,
-                       n);
-    }
+  gpointer team;
+  gpointer n;
+
+  g_hash_table_iter_init (&iter, counts);
+  while (g_hash_table_iter_next (&iter, &team, &n))
+    tou_check_add (check, TOU_CHECK_CHANGE, "team",
+                   ((const TouName *)team)->data, "API keys %s: %u", change,
+                   GPOINTER_TO_UINT (n));
+  g_hash_table_unref (counts);
 }
 
 void
