Know no issuers before the store has been read

The configuration arrives before the panel, so a node that restarted knew a few registered nodes as issuers for a moment; the panel then seemed to succeed them, and its members waited for a second.

Change: a node without the store's records knows no issuers. It has served nothing until then.

--- a/src/session/credit.c
+++ b/src/session/credit.c
@@ -115,7 +115,9 @@
 }
 
 /* Without a panel all nodes are issuers. While there are too many of them and
-   no panel yet, there is none. */
+   no panel yet, there is none. Neither is before the store has been read: the
+   configuration arrives before the panel, and the few nodes known then would
+   count as the panel's predecessors, so that its members wait. */
 static void
 credit_update_issuers (TouCredit *credit, guint64 now_us)
 {
@@ -135,7 +137,7 @@
   if (proxy->panel.revision != 0)
     tou_quota_limits_set_issuers (credit->limits, proxy->panel.members,
                                   proxy->panel.n_members, TRUE, now_us);
-  else if (tou_peers_have_panel (proxy))
+  else if (!proxy->synced || tou_peers_have_panel (proxy))
     tou_quota_limits_set_issuers (credit->limits, NULL, 0, TRUE, now_us);
   else
     {
