Close the listener of the proxy scripts through the proxy

A pause of the test process isolates the node.

Change: both places of the driver call tou_proxy_close_listener(), which closes the socket once. No check of a script is changed.

Result: not reproduced on demand.

--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -664,7 +664,7 @@
 {
   TouNodeSettings settings = script->proxy->settings;
 
-  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  tou_proxy_close_listener (script->proxy);
   uv_run (&script->loop, UV_RUN_NOWAIT);
   tou_proxy_destroy (script->proxy);
   tou_proxy_create (&script->proxy, &script->loop, &settings);
@@ -788,7 +788,7 @@
   gpointer value;
 
   uv_close ((uv_handle_t *)&script->timer, NULL);
-  uv_close ((uv_handle_t *)&script->proxy->listener, NULL);
+  tou_proxy_close_listener (script->proxy);
   g_hash_table_iter_init (&iter, script->clients);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (!uv_is_closing ((uv_handle_t *)&((Client *)value)->tcp))
