--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -571,14 +571,12 @@
 
 /* Nodes that the store turns away know only each other. */
 
+#define REFUSE_MS 8800
+
+/* Starts six nodes and stops the last four of them. */
 static void
-case_stale_store (void)
+stop_four (void)
 {
-  Client writer = { -1, NULL };
-  Client reader = { -1, NULL };
-  gint64 until_ms;
-  guint n = 0;
-
   fleet_start (6);
   for (guint i = 2; i < 6; i++)
     node_signal (i, SIGTERM);
@@ -589,12 +587,27 @@
       give_up ("a node that ended is still registered");
   /* They are started again after a short delay. */
   sleep_ms (400);
-  if (fleet.trouble)
-    {
-      standin_refuse_node (0, TRUE);
-      standin_refuse_node (1, TRUE);
-    }
-  until_ms = standin_ms () + 8800;
+}
+
+/* The store turns the first two nodes away, or serves them again. */
+static void
+refuse_two (gboolean refuse)
+{
+  for (guint i = 0; fleet.trouble && i < 2; i++)
+    standin_refuse_node (i, refuse);
+}
+
+static void
+case_stale_store (void)
+{
+  Client writer = { -1, NULL };
+  Client reader = { -1, NULL };
+  gint64 until_ms;
+  guint n = 0;
+
+  stop_four ();
+  refuse_two (TRUE);
+  until_ms = standin_ms () + REFUSE_MS;
   for (guint i = 2; i < 6; i++)
     node_start (i);
   standin_note ("the primary is to be replaced");
@@ -606,17 +619,73 @@
       check_fresh (&writer, 2, &reader, 0, ++n);
       sleep_ms (50);
     }
-  if (fleet.trouble)
-    {
-      standin_refuse_node (0, FALSE);
-      standin_refuse_node (1, FALSE);
-    }
+  refuse_two (FALSE);
   if (standin_leader () == 0)
     give_up ("the primary was not replaced");
   client_close (&writer);
   client_close (&reader);
 }
 
+/* The same, and the primary is partitioned from three of the four, the leader
+   among them, and from its replicas. */
+
+#define ONE_WRITES 400
+
+static void
+case_one (void)
+{
+  Client client = { -1, NULL };
+  Position acked[ONE_WRITES];
+  guint n_acked = 0;
+  guint n_lost = 0;
+  guint nodes = 0;
+  gint64 until_ms;
+  char id[24];
+  Answer answer;
+  Run run;
+  gint leading;
+
+  stop_four ();
+  refuse_two (TRUE);
+  until_ms = standin_ms () + REFUSE_MS;
+  for (guint i = 2; i < 6; i++)
+    node_start (i);
+  while ((leading = standin_leading_node ()) < (fleet.trouble ? 2 : 0)
+         && standin_ms () < until_ms)
+    sleep_ms (20);
+  if (leading < 0)
+    give_up ("no node has the duty to promote");
+  for (guint i = 0; i < 3; i++)
+    nodes |= 1U << (2 + ((guint)MAX (leading, 2) - 2 + i) % 4);
+  if (fleet.trouble)
+    standin_cut (0, nodes, TRUE);
+  while (standin_ms () < until_ms)
+    {
+      client_query (&client, 0, id, "WRITE trench signed off", &answer);
+      if (answer.complete && standin_find_run (id, &run) && !run.is_newest
+          && n_acked < ONE_WRITES)
+        acked[n_acked++] = run.position;
+      sleep_ms (50);
+    }
+  if (fleet.trouble)
+    standin_cut (0, 0, FALSE);
+  refuse_two (FALSE);
+  sleep_ms (3000);
+  for (guint i = 0; i < n_acked; i++)
+    n_lost += !standin_is_kept (acked[i]);
+  if (n_acked > 0)
+    {
+      char *line = g_strdup_printf (
+          "ONE: %u writes were committed at the old primary after another "
+          "database led, and acknowledged; %u of them are lost",
+          n_acked, n_lost);
+
+      broken (line);
+      g_free (line);
+    }
+  client_close (&client);
+}
+
 /* All nodes and the primary restart at the same time. */
 
 static void
@@ -728,7 +797,8 @@
   } cases[] = { { "lost", case_lost },
                 { "stale-store", case_stale_store },
                 { "stale-anew", case_stale_anew },
-                { "drain", case_drain } };
+                { "drain", case_drain },
+                { "one", case_one } };
   FILE *record = argc == 3 ? fopen (argv[2], "w") : NULL;
   gboolean found = FALSE;
 
--- a/review/standin-2/standin.c
+++ b/review/standin-2/standin.c
@@ -54,7 +54,9 @@
   guint64 born;
   gint64 step_down_ms; /* 0: not due */
   guint n_connections;
-  GArray *log; /* of Entry */
+  guint cut_nodes; /* bits of the nodes that it is partitioned from */
+  gboolean cut;    /* partitioned from the other databases */
+  GArray *log;     /* of Entry */
   uv_tcp_t listener;
 } Database;
 
@@ -72,7 +74,8 @@
   char *prefix;
   /* Database. */
   Database *database;
-  guint64 born; /* of the process that accepted it */
+  guint64 born;   /* of the process that accepted it */
+  guint node_bit; /* of the node that has connected */
   gboolean started;
   gboolean in_txn;
   gboolean failed;
@@ -755,12 +758,16 @@
     }
   for (guint i = 0; i < STANDIN_DATABASES; i++)
     if (standin.databases[i].step_down_ms != 0
-        && now_ms >= standin.databases[i].step_down_ms)
+        && now_ms >= standin.databases[i].step_down_ms
+        && !standin.databases[i].cut)
       database_become_replica (&standin.databases[i]);
   leader = &standin.databases[leader_index ()];
+  if (leader->cut)
+    return;
   for (guint i = 0; leader->primary && leader->running && i < STANDIN_DATABASES;
        i++)
-    if (standin.databases[i].running && !standin.databases[i].primary)
+    if (standin.databases[i].running && !standin.databases[i].primary
+        && !standin.databases[i].cut)
       database_follow (&standin.databases[i], leader, now_ms);
 }
 
@@ -813,9 +820,12 @@
 static void
 note_run (const Connection *connection, const char *id, const char *text)
 {
-  Run run = { (guint)(connection->database - standin.databases),
-              connection->database->primary,
-              database_position (connection->database), standin_ms () };
+  Run run
+      = { (guint)(connection->database - standin.databases),
+          connection->database->primary,
+          database_position (connection->database),
+          leader_index () == (guint)(connection->database - standin.databases),
+          standin_ms () };
 
   g_hash_table_replace (standin.runs, g_strdup (id),
                         g_memdup2 (&run, sizeof run));
@@ -976,6 +986,17 @@
   g_string_free (out, TRUE);
 }
 
+/* Returns the bit of the node that sends STARTUP, or 0. */
+static guint
+startup_node (const char *line)
+{
+  const char *name = strstr (line, " front-");
+
+  if (!g_str_has_prefix (line, "STARTUP ") || name == NULL)
+    return 0;
+  return 1U << (g_ascii_strtoull (name + strlen (" front-"), NULL, 10) - 1);
+}
+
 static void
 database_parse (Connection *connection)
 {
@@ -984,9 +1005,15 @@
   while (!connection->closed
          && (end = strstr (connection->in->str, "\r\n")) != NULL)
     {
-      char *line
-          = g_strndup (connection->in->str, (gsize)(end - connection->in->str));
+      char *line;
 
+      if (connection->node_bit == 0)
+        connection->node_bit = startup_node (connection->in->str);
+      /* What arrives during a partition is handled when it ends. */
+      if ((connection->node_bit & connection->database->cut_nodes) != 0)
+        return;
+      line
+          = g_strndup (connection->in->str, (gsize)(end - connection->in->str));
       g_string_erase (connection->in, 0, (end - connection->in->str) + 2);
       if (g_str_has_prefix (line, "STARTUP "))
         {
@@ -1110,10 +1137,11 @@
           && (!connection->database->running
               || connection->born != connection->database->born))
         connection_close (connection);
-      else if (connection->database == NULL && connection->watching
-               && standin.refused[connection->node])
+      else if (connection->database != NULL)
+        database_parse (connection);
+      else if (connection->watching && standin.refused[connection->node])
         connection_close (connection);
-      else if (connection->database == NULL)
+      else
         store_check_watch (connection, now_ms);
     }
   g_mutex_unlock (&standin.lock);
@@ -1294,6 +1322,39 @@
   g_mutex_unlock (&standin.lock);
 }
 
+void
+standin_cut (guint database, guint nodes, gboolean others)
+{
+  g_mutex_lock (&standin.lock);
+  standin.databases[database].cut_nodes = nodes;
+  standin.databases[database].cut = others;
+  note_locked ("%s is partitioned from nodes %02x%s",
+               standin.databases[database].id, nodes,
+               others ? " and from its replicas" : "");
+  g_mutex_unlock (&standin.lock);
+}
+
+gint
+standin_leading_node (void)
+{
+  const Item *item;
+  gint node = -1;
+
+  g_mutex_lock (&standin.lock);
+  item = g_tree_lookup (standin.items, "tou/leader");
+  if (item != NULL)
+    {
+      gsize len;
+      guchar *name = g_base64_decode (item->value, &len);
+
+      if (len > strlen ("front-"))
+        node = (gint)(name[strlen ("front-")] - '1');
+      g_free (name);
+    }
+  g_mutex_unlock (&standin.lock);
+  return node;
+}
+
 guint
 standin_leader (void)
 {
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -30,6 +30,7 @@
   guint database;
   gboolean as_primary; /**< its role at that time */
   Position position;   /**< end of its log; after a write: of its commit */
+  gboolean is_newest;  /**< no other database led a later term */
   gint64 at_ms;
 } Run;
 
@@ -52,6 +53,9 @@
 /** TRUE if the store has the key. */
 gboolean standin_has_key (const char *key);
 
+/** Index of the node that has the duty to promote, or -1. */
+gint standin_leading_node (void);
+
 /** Writes a configuration with one primary route. */
 void standin_put_config (guint version, guint timeout_ms);
 
@@ -72,6 +76,12 @@
  */
 void standin_start_anew (guint database);
 
+/**
+ * Partitions the database from the nodes whose bit is set (1 << index), and
+ * from the other databases if @a others; 0 and FALSE end the partition.
+ */
+void standin_cut (guint database, guint nodes, gboolean others);
+
 /** Index of the database that leads the newest term. */
 guint standin_leader (void);
 
