--- a/review/standin-2/cases.c
+++ b/review/standin-2/cases.c
@@ -630,6 +630,7 @@
    among them, and from its replicas. */
 
 #define ONE_WRITES 400
+#define CUT_MS 6800
 
 static void
 case_one (void)
@@ -659,6 +660,7 @@
     nodes |= 1U << (2 + ((guint)MAX (leading, 2) - 2 + i) % 4);
   if (fleet.trouble)
     standin_cut (0, nodes, TRUE);
+  until_ms = MIN (until_ms, standin_ms () + CUT_MS);
   while (standin_ms () < until_ms)
     {
       client_query (&client, 0, id, "WRITE trench signed off", &answer);
