Log the number of nodes and count heartbeats of unlisted ones

Hypotheses, and what tells them apart:

The list of nodes of the two that the store turns away shrinks to the two, and each proves the record to the other. A `nodes` line with a smaller number on them than on the leader; no proof_reads_total. 2. A late answer of the store proves the record: proof_reads_total rises after store_lost. 3. The leader does not wait for proofs to expire: `handover` with step choose less than 1 s after group_record. 4. The two hear nothing of the others: peer_messages_total rises by what one node sends only.

The logs had no number of nodes before a change of primary, and heartbeats of nodes that are not in the list left no trace. `nodes` and peer_unknown_total are new.

--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -111,6 +111,7 @@
   guint64 sent_leader_us;   /* last heartbeat to the leader */
   guint64 sent_state;       /* hash of the last state sent to the leader */
   guint64 member_since_us;  /* when this node became a member of the panel */
+  guint logged_nodes;       /* number of nodes in the last log line about it */
   guint64 summary_us;       /* when the two below were updated */
   GArray *silent;           /* of PeerSilent: nodes that this one misses */
   gboolean has_lost;        /* a node may have lost its registration */
@@ -871,6 +872,8 @@
   groups = &fields[12];
   peer = g_hash_table_lookup (peers->nodes, &header.node);
   /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
+  if (peer == NULL)
+    TOU_COUNT (peers->proxy, PEER_UNKNOWN);
   if (peer == NULL || !peer_on_header (peers, peer, &header))
     return TRUE;
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
@@ -1154,9 +1157,27 @@
     peers_send (peers, leader, 0, PEERS_STATE, now_us);
 }
 
+/* Logs changes of the number of nodes, on which the proofs without a panel
+   depend. */
+static void
+peers_log_nodes (TouPeers *peers)
+{
+  const TouProxy *proxy = peers->proxy;
+
+  if (proxy->n_nodes == peers->logged_nodes)
+    return;
+  peers->logged_nodes = proxy->n_nodes;
+  tou_evlog (TOU_EVLOG_STATE, "nodes",
+             "\"nodes\":%u,\"required\":%u,\"store_revision\":"
+             "%" G_GUINT64_FORMAT,
+             proxy->n_nodes, tou_proxy_required_proofs (proxy),
+             proxy->store_revision);
+}
+
 void
 tou_peers_tick (TouPeers *peers, guint64 now_us)
 {
+  peers_log_nodes (peers);
   if (tou_peers_have_panel (peers->proxy))
     peers_tick_panel (peers, now_us);
   else
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -83,6 +83,7 @@
   X (PEER_SENT, "peer_sent_total", "messages sent to other nodes")             \
   X (PEER_BYTES, "peer_bytes_total", "bytes sent to other nodes")              \
   X (PEER_MESSAGES, "peer_messages_total", "messages from other nodes")        \
+  X (PEER_UNKNOWN, "peer_unknown_total", "heartbeats of unlisted nodes")       \
   X (HANDOVERS, "handovers_total", "changes of primary run by this node")      \
   X (QUOTA_GRANTED, "quota_granted_total", "operations given credit")          \
   X (QUOTA_REFUSED, "quota_refused_total", "operations without credit")        \
