Pass a new panel on with the registrations of its members

Cause: a node that the store turns away ignores the heartbeats of nodes that have registered since, so it does not get the panel that follows its own, and neither agrees to it nor to a new record. And a member proved nothing to nodes with a later panel until it had read the store up to it, although another node may have given it all records that it lacks.

Change: the panel is passed on with the registrations of its members, of the leader and of the sender. A node takes those that are newer; nodes that it does not know only from a panel that names its own as the predecessor. What it refuses is counted (peer_unknown_total) and logged once a panel. Heartbeats say as of which revision the sender has all records; a receiver with an equal digest has them as well, and then counts in the panel. This does not follow a restored store before its records are checked. The leader sends heartbeats to the members of the panel before while it waits for them.

Checks that changed: test_unknown_panel_does_not_spread gave the writer of a panel the records as of that panel, which a leader has only after its watch returned; now it does not, and the assertions are the same. test_panel_spreads_from_one_node requires that no node loses its proofs where the writer has them.

--- a/src/session/control.c
+++ b/src/session/control.c
@@ -282,7 +282,7 @@
       /* The leader removed this node because its heartbeats were missing. */
       if (tou_name_equal (&node, &control->proxy->settings.node))
         control->registered = FALSE;
-      tou_peers_remove (control->peers, &node);
+      tou_peers_remove (control->peers, &node, item->revision);
       return;
     }
   blank = memchr (item->value.data, ' ', item->value.len);
@@ -424,6 +424,10 @@
   tou_follow_applied (&control->follow, revision,
                       control->proxy->store_followed_us);
   control->proxy->store_revision = revision;
+  /* A restored store may lack records. */
+  if (tou_control_trusts_store (control))
+    control->proxy->records_revision
+        = MAX (control->proxy->records_revision, revision);
 }
 
 /* Ends a list: endpoints and nodes that are not in it are marked as missing or
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -1,5 +1,7 @@
 #include "peers.h"
 
+#include "pack.h"
+#include "panel-news.h"
 #include "quota-wire.h"
 #include "revision.h"
 #include "stream.h"
@@ -38,11 +40,10 @@
 /* Maximum number of silent nodes named in a heartbeat, which has to fit into a
    datagram; the others are named once these are removed. */
 #define PEERS_MAX_SILENT 100
-#define PEERS_VERSION 4
-/* Numbers of fields: of a message, of a panel, of a position, and of a group
-   with and without record. */
-#define PEERS_FIELDS 13
-#define PEERS_PANEL_FIELDS 4
+#define PEERS_VERSION 5
+/* Numbers of fields: of a message, of a position, and of a group with and
+   without record. */
+#define PEERS_FIELDS 14
 #define PEERS_POSITION_FIELDS 4
 #define PEERS_RECORD_FIELDS 8
 #define PEERS_GROUP_FIELDS 4
@@ -94,6 +95,7 @@
   guint64 digest;    /* of its records; 0: unknown */
   guint64 panel_revision;
   guint64 store_revision;
+  guint64 records_revision;
   guint64 urgent_revision;
   gboolean follows_store;
   GArray *silent;     /* of PeerSilent */
@@ -113,6 +115,8 @@
   guint64 sent_leader_us;   /* last heartbeat to the leader */
   guint64 sent_state;       /* hash of the last state sent to the leader */
   guint64 member_since_us;  /* when this node became a member of the panel */
+  guint64 self_revision;    /* of this node's registration; 0: not seen */
+  guint64 logged_news;      /* panel in the last log line about its sender */
   guint logged_nodes;       /* number of nodes in the last log line about it */
   guint64 summary_us;       /* when the two below were updated */
   GArray *silent;           /* of PeerSilent: nodes that this one misses */
@@ -148,6 +152,7 @@
   peer->digest = 0;
   peer->panel_revision = 0;
   peer->store_revision = 0;
+  peer->records_revision = 0;
   peer->urgent_revision = 0;
   peer->follows_store = FALSE;
   g_array_set_size (peer->silent, 0);
@@ -161,10 +166,17 @@
   struct sockaddr_in parsed;
   Peer *peer;
 
-  if (tou_name_equal (node, &peers->proxy->settings.node)
-      || tou_stream_address (&parsed, address) != TOU_OK)
+  if (tou_stream_address (&parsed, address) != TOU_OK)
     return;
+  if (tou_name_equal (node, &peers->proxy->settings.node))
+    {
+      peers->self_revision = revision;
+      return;
+    }
   peer = g_hash_table_lookup (peers->nodes, node);
+  /* Another node has passed a later registration on. */
+  if (peer != NULL && revision < peer->revision)
+    return;
   if (peer == NULL)
     {
       peer = g_new0 (Peer, 1);
@@ -187,8 +199,12 @@
 }
 
 void
-tou_peers_remove (TouPeers *peers, const TouName *node)
+tou_peers_remove (TouPeers *peers, const TouName *node, guint64 revision)
 {
+  const Peer *peer = g_hash_table_lookup (peers->nodes, node);
+
+  if (peer != NULL && revision < peer->revision)
+    return;
   g_hash_table_remove (peers->nodes, node);
   peers_update_count (peers);
 }
@@ -209,7 +225,8 @@
   peers->has_lost = FALSE;
   g_hash_table_iter_init (&iter, peers->nodes);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    if (!g_hash_table_contains (nodes, key))
+    if (!g_hash_table_contains (nodes, key)
+        && ((const Peer *)value)->revision <= revision)
       {
         if (peer_is_lost (value, revision))
           peers->has_lost = TRUE;
@@ -248,12 +265,6 @@
   return peers->proxy->n_nodes < n_nodes;
 }
 
-static void
-pack_name (msgpack_packer *packer, const TouName *name)
-{
-  msgpack_pack_str_with_body (packer, name->data, name->len);
-}
-
 /* Returns TRUE if @a peer has reported the same record. */
 static gboolean
 peers_has_record (const Peer *peer, const TouGroup *group)
@@ -274,7 +285,7 @@
   gboolean brief = peers_has_record (peer, group);
 
   msgpack_pack_array (packer, brief ? PEERS_GROUP_FIELDS : PEERS_RECORD_FIELDS);
-  pack_name (packer, &group->name);
+  tou_pack_name (packer, &group->name);
   msgpack_pack_uint64 (packer, record->revision);
   msgpack_pack_uint64 (packer,
                        primary != NULL && tou_endpoint_is_suspect (primary));
@@ -282,9 +293,9 @@
   if (brief)
     return;
   msgpack_pack_uint64 (packer, record->term);
-  pack_name (packer, &record->primary);
+  tou_pack_name (packer, &record->primary);
   msgpack_pack_uint64 (packer, record->moving);
-  pack_name (packer, &record->candidate);
+  tou_pack_name (packer, &record->candidate);
 }
 
 /* Nonlinear, so that different revisions with the same sum give different
@@ -361,15 +372,7 @@
       peers_pack_group (packer, peer, value, now_us);
 }
 
-static void
-peers_pack_names (msgpack_packer *packer, const TouName *names, guint n)
-{
-  msgpack_pack_array (packer, n);
-  for (guint i = 0; i < n; i++)
-    pack_name (packer, &names[i]);
-}
-
-/* TRUE if a majority of the panel has read the store up to the panel's record.
+/* TRUE if a majority of the panel has the records as of the panel's revision.
    Before that its members prove nothing to nodes that have the panel. If the
    store fails right after the panel was written, only its writer may have it.
  */
@@ -379,34 +382,61 @@
   const TouProxy *proxy = peers->proxy;
   const TouPanel *panel = &proxy->panel;
   guint count = tou_panel_contains (panel, &proxy->settings.node)
-                && proxy->store_revision >= panel->revision;
+                && proxy->records_revision >= panel->revision;
 
   for (guint i = 0; i < panel->n_members; i++)
     {
       const Peer *peer = g_hash_table_lookup (peers->nodes, &panel->members[i]);
 
-      count += peer != NULL && peer->store_revision >= panel->revision;
+      count += peer != NULL && peer->records_revision >= panel->revision;
     }
   return count * 2 > panel->n_members;
 }
 
-/* A peer that reported an older panel gets this node's. */
+static void
+peers_add_registration (TouPanelNews *news, const TouPeers *peers,
+                        const TouName *node)
+{
+  const TouNodeSettings *settings = &peers->proxy->settings;
+  const Peer *peer = g_hash_table_lookup (peers->nodes, node);
+  TouRegistration self = { settings->node, settings->peers_listen,
+                           settings->failure_domain, peers->self_revision };
+  TouRegistration other = { 0 };
+
+  if (tou_name_equal (node, &settings->node) && peers->self_revision != 0)
+    tou_panel_news_add (news, &self);
+  if (peer == NULL
+      || tou_stream_name (&other.address, &peer->address) != TOU_OK)
+    return;
+  other.node = peer->node;
+  other.failure_domain = peer->failure_domain;
+  other.revision = peer->revision;
+  tou_panel_news_add (news, &other);
+}
+
+/* A peer that reported an older panel gets this node's. One that has not been
+   heard may not know this node, and gets it at once. */
 static void
 peers_pack_panel (msgpack_packer *packer, const TouPeers *peers,
                   const Peer *peer)
 {
-  const TouPanel *panel = &peers->proxy->panel;
+  const TouProxy *proxy = peers->proxy;
+  const TouPanel *panel = &proxy->panel;
+  TouPanelNews news = { 0 };
 
-  if (peer->panel_revision >= panel->revision || !peers_panel_proves (peers))
+  news.panel = *panel;
+  news.proves = peers_panel_proves (peers);
+  if (peer->panel_revision >= panel->revision
+      || (!news.proves && peer->incarnation != 0))
     {
       msgpack_pack_nil (packer);
       return;
     }
-  msgpack_pack_array (packer, PEERS_PANEL_FIELDS);
-  msgpack_pack_uint64 (packer, panel->revision);
-  msgpack_pack_uint64 (packer, panel->joint);
-  peers_pack_names (packer, panel->members, panel->n_members);
-  peers_pack_names (packer, panel->previous, panel->n_previous);
+  for (guint i = 0; i < panel->n_members; i++)
+    peers_add_registration (&news, peers, &panel->members[i]);
+  peers_add_registration (&news, peers, &proxy->leader);
+  peers_add_registration (&news, peers, &proxy->settings.node);
+  tou_panel_news_pack (packer, &news);
 }
 
 static void
@@ -448,7 +478,7 @@
         continue;
       tou_freshness_required (group->freshness, sent_us, &pos);
       msgpack_pack_array (packer, PEERS_POSITION_FIELDS);
-      pack_name (packer, &group->name);
+      tou_pack_name (packer, &group->name);
       msgpack_pack_uint64 (packer, pos.term);
       msgpack_pack_uint64 (packer, pos.position);
       msgpack_pack_uint64 (packer, now_us - sent_us);
@@ -465,7 +495,7 @@
 
   msgpack_pack_array (packer, PEERS_FIELDS);
   msgpack_pack_uint64 (packer, PEERS_VERSION);
-  pack_name (packer, &proxy->settings.node);
+  tou_pack_name (packer, &proxy->settings.node);
   msgpack_pack_uint64 (packer, proxy->incarnation);
   msgpack_pack_uint64 (packer, now_us);
   msgpack_pack_uint64 (packer, peer->echo_us);
@@ -478,6 +508,7 @@
   msgpack_pack_uint64 (packer, flags);
   msgpack_pack_uint64 (packer, proxy->panel.revision);
   msgpack_pack_uint64 (packer, proxy->store_revision);
+  msgpack_pack_uint64 (packer, proxy->records_revision);
   msgpack_pack_uint64 (packer, proxy->urgent_revision);
   peers_pack_panel (packer, peers, peer);
   /* What only the panel knows. */
@@ -542,33 +573,16 @@
   return peer->rtt_us;
 }
 
-static gboolean
-unpack_name (TouName *out, const msgpack_object *object)
-{
-  return object->type == MSGPACK_OBJECT_STR
-         && tou_name_set (out, object->via.str.ptr, object->via.str.size)
-                == TOU_OK;
-}
-
-static gboolean
-unpack_number (guint64 *out, const msgpack_object *object)
-{
-  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
-    return FALSE;
-  *out = object->via.u64;
-  return TRUE;
-}
-
 /* Decodes the record after a group's first fields. */
 static gboolean
 unpack_record (TouGroupRecord *out, const msgpack_object *fields)
 {
   guint64 moving;
 
-  if (!unpack_number (&out->term, &fields[4])
-      || !unpack_name (&out->primary, &fields[5])
-      || !unpack_number (&moving, &fields[6])
-      || !unpack_name (&out->candidate, &fields[7]))
+  if (!tou_unpack_number (&out->term, &fields[4])
+      || !tou_unpack_name (&out->primary, &fields[5])
+      || !tou_unpack_number (&moving, &fields[6])
+      || !tou_unpack_name (&out->candidate, &fields[7]))
     return FALSE;
   out->moving = moving != 0;
   return TRUE;
@@ -603,10 +617,10 @@
     return FALSE;
   brief = object->via.array.size == PEERS_GROUP_FIELDS;
   if ((!brief && object->via.array.size != PEERS_RECORD_FIELDS)
-      || !unpack_name (&name, &fields[0])
-      || !unpack_number (&record.revision, &fields[1])
-      || !unpack_number (&suspects, &fields[2])
-      || !unpack_number (&quiesced, &fields[3])
+      || !tou_unpack_name (&name, &fields[0])
+      || !tou_unpack_number (&record.revision, &fields[1])
+      || !tou_unpack_number (&suspects, &fields[2])
+      || !tou_unpack_number (&quiesced, &fields[3])
       || (!brief && !unpack_record (&record, fields)))
     return FALSE;
   group = tou_group_get (peers->proxy, &name);
@@ -674,6 +688,7 @@
   guint64 flags;
   guint64 panel_revision;
   guint64 store_revision;
+  guint64 records_revision;
   guint64 urgent_revision;
 } PeerHeader;
 
@@ -682,49 +697,61 @@
 {
   guint64 version;
 
-  return unpack_number (&version, &fields[0]) && version == PEERS_VERSION
-         && unpack_name (&out->node, &fields[1])
-         && unpack_number (&out->incarnation, &fields[2])
-         && unpack_number (&out->sent_us, &fields[3])
-         && unpack_number (&out->echo_us, &fields[4])
-         && unpack_number (&out->digest, &fields[5])
-         && unpack_number (&out->flags, &fields[6])
-         && unpack_number (&out->panel_revision, &fields[7])
-         && unpack_number (&out->store_revision, &fields[8])
-         && unpack_number (&out->urgent_revision, &fields[9]);
+  return tou_unpack_number (&version, &fields[0]) && version == PEERS_VERSION
+         && tou_unpack_name (&out->node, &fields[1])
+         && tou_unpack_number (&out->incarnation, &fields[2])
+         && tou_unpack_number (&out->sent_us, &fields[3])
+         && tou_unpack_number (&out->echo_us, &fields[4])
+         && tou_unpack_number (&out->digest, &fields[5])
+         && tou_unpack_number (&out->flags, &fields[6])
+         && tou_unpack_number (&out->panel_revision, &fields[7])
+         && tou_unpack_number (&out->store_revision, &fields[8])
+         && tou_unpack_number (&out->records_revision, &fields[9])
+         && tou_unpack_number (&out->urgent_revision, &fields[10]);
 }
 
-static gboolean
-unpack_names (TouName *names, guint *n, const msgpack_object *list)
+/* Registers nodes that this one does not know, or with an older registration.
+ */
+static void
+peers_learn_nodes (TouPeers *peers, const TouPanelNews *news)
 {
-  if (list->type != MSGPACK_OBJECT_ARRAY
-      || list->via.array.size > TOU_PANEL_SIZE)
-    return FALSE;
-  for (guint i = 0; i < list->via.array.size; i++)
-    if (!unpack_name (&names[(*n)++], &list->via.array.ptr[i]))
-      return FALSE;
-  return TRUE;
+  for (guint i = 0; i < news->n_nodes; i++)
+    {
+      const TouRegistration *node = &news->nodes[i];
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &node->node);
+
+      if (peer == NULL || node->revision > peer->revision)
+        tou_peers_set (peers, &node->node, &node->address,
+                       &node->failure_domain, node->revision);
+    }
 }
 
-static gboolean
-peers_on_panel (TouPeers *peers, const msgpack_object *object)
+/* Returns the sender of news, or NULL if it is unknown. A node that the store
+   turns away cannot read who has registered since, but it is asked to agree to
+   the panel that follows its own. */
+static Peer *
+peers_find_sender (TouPeers *peers, const TouName *sender,
+                   const TouPanelNews *news)
 {
-  const msgpack_object *fields = object->via.array.ptr;
-  TouPanel panel = { 0 };
-  guint64 joint;
+  const TouProxy *proxy = peers->proxy;
+  Peer *peer = g_hash_table_lookup (peers->nodes, sender);
 
-  if (object->type == MSGPACK_OBJECT_NIL)
-    return TRUE;
-  if (object->type != MSGPACK_OBJECT_ARRAY
-      || object->via.array.size != PEERS_PANEL_FIELDS
-      || !unpack_number (&panel.revision, &fields[0])
-      || !unpack_number (&joint, &fields[1])
-      || !unpack_names (panel.members, &panel.n_members, &fields[2])
-      || !unpack_names (panel.previous, &panel.n_previous, &fields[3]))
-    return FALSE;
-  panel.joint = joint != 0;
-  tou_peers_adopt_panel (peers, &panel);
-  return TRUE;
+  if (peer != NULL || news == NULL || !proxy->synced
+      || news->panel.revision <= proxy->panel.revision)
+    return peer;
+  if (tou_panel_news_introduces (news, sender, &proxy->panel))
+    {
+      peers_learn_nodes (peers, news);
+      peer = g_hash_table_lookup (peers->nodes, sender);
+    }
+  if (news->panel.revision != peers->logged_news)
+    tou_evlog (TOU_EVLOG_STATE,
+               peer != NULL ? "panel_introduced" : "panel_refused",
+               "\"peer\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+               ",\"current\":%" G_GUINT64_FORMAT,
+               sender->data, news->panel.revision, proxy->panel.revision);
+  peers->logged_news = news->panel.revision;
+  return peer;
 }
 
 static gboolean
@@ -738,7 +765,7 @@
       guint64 number;
       PeerSilent silent;
 
-      if (!unpack_number (&number, &list->via.array.ptr[i]))
+      if (!tou_unpack_number (&number, &list->via.array.ptr[i]))
         return FALSE;
       silent.hash = (guint)(number >> 1);
       silent.expired = number & 1;
@@ -761,10 +788,10 @@
 
   if (object->type != MSGPACK_OBJECT_ARRAY
       || object->via.array.size != PEERS_POSITION_FIELDS
-      || !unpack_name (&name, &fields[0])
-      || !unpack_number (&pos.term, &fields[1])
-      || !unpack_number (&pos.position, &fields[2])
-      || !unpack_number (&age_us, &fields[3]))
+      || !tou_unpack_name (&name, &fields[0])
+      || !tou_unpack_number (&pos.term, &fields[1])
+      || !tou_unpack_number (&pos.position, &fields[2])
+      || !tou_unpack_number (&age_us, &fields[3]))
     return FALSE;
   group = g_hash_table_lookup (peers->proxy->groups, &name);
   if (group != NULL && age_us < echo_us
@@ -795,8 +822,8 @@
 }
 
 /* Returns TRUE if the records of @a peer prove this node's. A peer with a later
-   panel no longer votes in this node's, and one that has not read the store up
-   to this node's panel may lack records that are older than the panel. */
+   panel no longer votes in this node's, and one without the records as of this
+   node's panel may lack some that are older than the panel. */
 static gboolean
 peers_accepts_proofs (const TouPeers *peers, const Peer *peer, guint64 flags)
 {
@@ -804,7 +831,7 @@
 
   return (flags & PEERS_VOUCHES) != 0
          && peer->panel_revision <= proxy->panel.revision
-         && peer->store_revision >= proxy->panel.revision
+         && peer->records_revision >= proxy->panel.revision
          && tou_panel_contains (&proxy->panel, &peer->node);
 }
 
@@ -826,6 +853,7 @@
   peer->digest = header->digest;
   peer->panel_revision = header->panel_revision;
   peer->store_revision = header->store_revision;
+  peer->records_revision = header->records_revision;
   peer->urgent_revision = header->urgent_revision;
   peer->follows_store = (header->flags & PEERS_FOLLOWS_STORE) != 0;
   if (header->echo_us <= peer->last_heartbeat_us)
@@ -849,41 +877,61 @@
              || tou_name_equal (&proxy->leader, &proxy->settings.node));
 }
 
+/* Handles the part of a heartbeat that is about the group records. */
+static gboolean
+peers_on_records (TouPeers *peers, Peer *peer, const PeerHeader *header,
+                  const msgpack_object *groups, guint64 echo_us)
+{
+  TouProxy *proxy = peers->proxy;
+  gboolean accepts_proofs = peers_accepts_proofs (peers, peer, header->flags);
+
+  peer_clear_reports (peer);
+  for (guint i = 0; i < groups->via.array.size; i++)
+    if (!peers_on_group (peers, peer, &groups->via.array.ptr[i], echo_us,
+                         accepts_proofs))
+      return FALSE;
+  if (header->digest == 0 || header->digest != tou_peers_digest (proxy))
+    return TRUE;
+  /* This node has all records that the sender had. */
+  proxy->records_revision
+      = MAX (proxy->records_revision, header->records_revision);
+  if (accepts_proofs || !tou_peers_have_panel (proxy))
+    peers_on_same_records (peers, peer, accepts_proofs ? echo_us : 0);
+  return TRUE;
+}
+
 static gboolean
 peers_on_message (TouPeers *peers, const msgpack_object *object)
 {
   const msgpack_object *fields = object->via.array.ptr;
-  const msgpack_object *groups;
   PeerHeader header;
+  TouPanelNews news;
+  gboolean has_news;
   Peer *peer;
   guint64 echo_us;
-  gboolean accepts_proofs;
 
   if (object->type != MSGPACK_OBJECT_ARRAY
       || object->via.array.size != PEERS_FIELDS
       || !unpack_header (&header, fields)
-      || fields[12].type != MSGPACK_OBJECT_ARRAY)
+      || fields[13].type != MSGPACK_OBJECT_ARRAY)
     return FALSE;
-  groups = &fields[12];
-  peer = g_hash_table_lookup (peers->nodes, &header.node);
+  has_news = fields[11].type != MSGPACK_OBJECT_NIL;
+  if (has_news && !tou_panel_news_unpack (&news, &fields[11]))
+    return FALSE;
+  peer = peers_find_sender (peers, &header.node, has_news ? &news : NULL);
   /* Heartbeats of unregistered nodes and earlier incarnations are ignored. */
   if (peer == NULL)
     TOU_COUNT (peers->proxy, PEER_UNKNOWN);
   if (peer == NULL || !peer_on_header (peers, peer, &header))
     return TRUE;
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
-  if (!peers_on_panel (peers, &fields[10])
-      || !peers_on_summary (peers, peer, &fields[11], echo_us))
+  if (has_news && news.panel.revision > peers->proxy->panel.revision)
+    peers_learn_nodes (peers, &news);
+  if (has_news && news.proves)
+    tou_peers_adopt_panel (peers, &news.panel);
+  if (!peers_on_summary (peers, peer, &fields[12], echo_us)
+      || !peers_on_records (peers, peer, &header, &fields[13], echo_us))
     return FALSE;
-  accepts_proofs = peers_accepts_proofs (peers, peer, header.flags);
-  peer_clear_reports (peer);
-  for (guint i = 0; i < groups->via.array.size; i++)
-    if (!peers_on_group (peers, peer, &groups->via.array.ptr[i], echo_us,
-                         accepts_proofs))
-      return FALSE;
-  if (header.digest != 0 && header.digest == tou_peers_digest (peers->proxy)
-      && (accepts_proofs || !tou_peers_have_panel (peers->proxy)))
-    peers_on_same_records (peers, peer, accepts_proofs ? echo_us : 0);
   if ((header.flags & PEERS_WANTS_REPLY) != 0 && peers_answers (peers, peer))
     peers_send (peers, peer, 0,
                 (header.flags & PEERS_WANTS_DETAILS) != 0 ? PEERS_POSITIONS
@@ -1031,6 +1079,18 @@
     }
   if (leader != NULL && !tou_panel_contains (panel, &leader->node))
     peers_send (peers, leader, PEERS_WANTS_REPLY, PEERS_STATE, now_us);
+  /* Former members may learn of the panel, which waits for them, from this node
+     only. */
+  if (!panel->joint || !tou_name_equal (&proxy->leader, &proxy->settings.node))
+    return;
+  for (guint i = 0; i < panel->n_previous; i++)
+    {
+      const Peer *peer
+          = g_hash_table_lookup (peers->nodes, &panel->previous[i]);
+
+      if (peer != NULL && !tou_panel_contains (panel, &peer->node))
+        peers_send (peers, peer, PEERS_WANTS_REPLY, PEERS_RECORDS, now_us);
+    }
 }
 
 /* Hash of what the leader waits for: suspicions and acknowledgements. */
@@ -1504,17 +1564,12 @@
 tou_peers_address (TouName *out, const TouPeers *peers)
 {
   struct sockaddr_in address;
-  char ip[INET_ADDRSTRLEN];
-  char text[TOU_NAME_MAX + 1];
   int len = sizeof address;
   int error
       = uv_udp_getsockname (&peers->udp, (struct sockaddr *)&address, &len);
 
-  if (error == 0)
-    error = uv_ip4_name (&address, ip, sizeof ip);
   if (error != 0)
     return tou_status_set (TOU_E_IO, "cannot read the socket's address: %s",
                            uv_strerror (error));
-  g_snprintf (text, sizeof text, "%s:%u", ip, g_ntohs (address.sin_port));
-  return tou_name_set_c (out, text);
+  return tou_stream_name (out, &address);
 }
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -24,14 +24,19 @@
 int tou_peers_address (TouName *out, const TouPeers *peers);
 
 /**
- * Adds or updates a registered node; this node itself is ignored.
+ * Adds or updates a registered node, unless a later registration is known.
  *
  * @param revision of the registration in the store
  */
 void tou_peers_set (TouPeers *peers, const TouName *node,
                     const TouName *address, const TouName *failure_domain,
                     guint64 revision);
-void tou_peers_remove (TouPeers *peers, const TouName *node);
+/**
+ * Removes a node, unless it is known to have registered again.
+ *
+ * @param revision of the removal in the store
+ */
+void tou_peers_remove (TouPeers *peers, const TouName *node, guint64 revision);
 /**
  * Removes the nodes that are not in @a nodes (set of TouName), the registered
  * ones at @a revision. Those that registered before the store was restored
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -141,6 +141,7 @@
   TouPanel panel;             /**< nodes that prove records */
   guint64 panel_adopted_us;   /**< when the panel was adopted */
   guint64 store_revision;     /**< last one of the store that was applied */
+  guint64 records_revision;   /**< the group records are as of this or later */
   guint64 urgent_revision;    /**< of the last change that all nodes need */
   guint64 store_followed_us;  /**< when a list or watch last succeeded */
   guint64 isolated_since_us;  /**< since when no primary is valid; 0: one is */
--- a/src/session/stream.c
+++ b/src/session/stream.c
@@ -96,6 +96,20 @@
   return TOU_OK;
 }
 
+int
+tou_stream_name (TouName *out, const struct sockaddr_in *address)
+{
+  char ip[INET_ADDRSTRLEN];
+  char text[TOU_NAME_MAX + 1];
+  int error = uv_ip4_name (address, ip, sizeof ip);
+
+  if (error != 0)
+    return tou_status_set (TOU_E_IO, "cannot read an address: %s",
+                           uv_strerror (error));
+  g_snprintf (text, sizeof text, "%s:%u", ip, g_ntohs (address->sin_port));
+  return tou_name_set_c (out, text);
+}
+
 void
 tou_stream_tune (uv_tcp_t *tcp)
 {
--- a/src/session/stream.h
+++ b/src/session/stream.h
@@ -32,6 +32,8 @@
  * @return TOU_E_SETTING_INVALID with a message
  */
 int tou_stream_address (struct sockaddr_in *out, const TouName *address);
+/** The inverse of tou_stream_address(). */
+int tou_stream_name (TouName *out, const struct sockaddr_in *address);
 
 /**
  * Listens on @a address; @a server's data is set to @a user_data.
--- a/tests/support/heartbeat-fleet.c
+++ b/tests/support/heartbeat-fleet.c
@@ -111,6 +111,7 @@
     panel.members[panel.n_members++] = fleet->proxies[first + i]->settings.node;
   tou_peers_adopt_panel (fleet->peers[node], &panel);
   fleet->proxies[node]->store_revision = revision;
+  fleet->proxies[node]->records_revision = revision;
 }
 
 gboolean
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -6,7 +6,7 @@
 #include "gateway.h"
 #include "handover.h"
 #include "log-set.h"
-#include "panel.h"
+#include "panel-news.h"
 #include "values.h"
 #include "window.h"
 
@@ -542,12 +542,11 @@
   return TRUE;
 }
 
-/* Sets the panel: REVISION joint|settled MEMBERS [PREVIOUS], lists with commas.
- */
+/* Reads a panel: REVISION joint|settled MEMBERS [PREVIOUS], lists with commas,
+   "-" for none. */
 static void
-set_panel (Script *script, const Command *command)
+read_panel (TouPanel *panel, const Command *command)
 {
-  TouPanel *panel = &script->panel;
   char **members = g_strsplit (arg (command, 3), ",", TOU_PANEL_SIZE);
   char **previous = g_strsplit (arg (command, 4), ",", TOU_PANEL_SIZE);
 
@@ -556,12 +555,54 @@
   panel->joint = arg_is (command, 2, "joint");
   for (char **name = members; *name != NULL; name++)
     panel->members[panel->n_members++] = tou_name (*name);
-  for (char **name = previous; *name != NULL; name++)
+  for (char **name = previous; *name != NULL && !arg_is (command, 4, "-");
+       name++)
     panel->previous[panel->n_previous++] = tou_name (*name);
   g_strfreev (members);
   g_strfreev (previous);
 }
 
+/* Prints which of the nodes NAME... a node with the panel takes the panel of
+   read_panel() from; it comes with the registrations of its members. The news
+   are packed and unpacked first. */
+static void
+run_news (Script *script, const Command *command)
+{
+  TouPanelNews news = { 0 };
+  TouPanelNews unpacked;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_unpacked object;
+
+  read_panel (&news.panel, command);
+  for (guint i = 0; i < news.panel.n_members; i++)
+    {
+      TouRegistration node = { news.panel.members[i], tou_name ("10.0.0.1:80"),
+                               tou_name ("a"), i + 1 };
+
+      tou_panel_news_add (&news, &node);
+      tou_panel_news_add (&news, &node);
+    }
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  tou_panel_news_pack (&packer, &news);
+  msgpack_unpacked_init (&object);
+  msgpack_unpack_next (&object, buffer.data, buffer.size, NULL);
+  if (!tou_panel_news_unpack (&unpacked, &object.data))
+    g_string_append (script->out, "malformed\n");
+  else
+    for (int i = 5; i < command->count; i++)
+      {
+        TouName sender = tou_name (command->words[i]);
+
+        put_yes_no (
+            script, sender.data,
+            tou_panel_news_introduces (&unpacked, &sender, &script->panel));
+      }
+  msgpack_unpacked_destroy (&object);
+  msgpack_sbuffer_destroy (&buffer);
+}
+
 static void
 put_panel (Script *script, const TouPanel *panel)
 {
@@ -582,7 +623,9 @@
   TouPanel panel;
 
   if (arg_is (command, 0, "panel"))
-    set_panel (script, command);
+    read_panel (&script->panel, command);
+  else if (arg_is (command, 0, "news"))
+    run_news (script, command);
   else if (arg_is (command, 0, "proofs-required"))
     g_string_append_printf (script->out, "%u others\n",
                             tou_panel_required (&script->panel, &name));
--- a/tests/test-panel.c
+++ b/tests/test-panel.c
@@ -142,7 +142,7 @@
   (void)state;
   fleet_start (&fleet);
   for (guint i = OUTSIDE; i < 2 * OUTSIDE; i++)
-    fleet.proxies[i]->store_revision = 7;
+    fleet.proxies[i]->records_revision = 7;
   hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
   hbfleet_run (&fleet, TOU_US_PER_S);
   for (guint i = 0; i < FLEET_MAX_NODES; i++)
@@ -166,7 +166,7 @@
   for (guint i = 0; i < FLEET_MAX_NODES; i++)
     {
       hbfleet_adopt_panel (&fleet, i, 7, OUTSIDE);
-      fleet.proxies[i]->store_revision = 3;
+      fleet.proxies[i]->records_revision = 3;
     }
   hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
   assert_int_equal (fleet.proxies[OUTSIDE]->panel.revision, 7);
@@ -185,6 +185,8 @@
   (void)state;
   fleet_start (&fleet);
   hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
+  /* The writer's watch has not returned the panel either. */
+  fleet.proxies[2]->records_revision = 3;
   hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
   assert_int_equal (fleet.proxies[OUTSIDE]->panel.revision, 3);
   assert_false (hbfleet_is_valid (&fleet, 2, 5));
@@ -192,6 +194,54 @@
   hbfleet_clear (&fleet);
 }
 
+/* If one node has read the store since, the members learn from it that they
+   have all records, and no node is without a proof meanwhile. */
+static void
+test_panel_spreads_from_one_node (void **state)
+{
+  HbFleet fleet;
+  guint64 end_us;
+
+  (void)state;
+  fleet_start (&fleet);
+  hbfleet_adopt_panel (&fleet, 2, 7, OUTSIDE);
+  end_us = tou_clock_us () + 2 * TOU_AUTHORITY_VALID_US;
+  while (tou_clock_us () < end_us)
+    {
+      hbfleet_run (&fleet, 10 * TOU_US_PER_MS);
+      for (guint i = 0; i < FLEET_MAX_NODES; i++)
+        assert_true (hbfleet_is_valid (&fleet, i, 5));
+    }
+  for (guint i = 0; i < FLEET_MAX_NODES; i++)
+    assert_int_equal (fleet.proxies[i]->panel.revision, 7);
+  hbfleet_clear (&fleet);
+}
+
+/* Guards against members that take their records for the store's although they
+   lack one: another record is as recent as the panel. */
+static void
+test_outdated_records_stay_outdated (void **state)
+{
+  HbFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  for (guint i = 0; i < TOU_PANEL_SIZE; i++)
+    hbfleet_stop (&fleet, i);
+  for (guint i = OUTSIDE; i < FLEET_MAX_NODES; i++)
+    hbfleet_adopt_panel (&fleet, i, 7, OUTSIDE);
+  for (guint i = OUTSIDE + 1; i < FLEET_MAX_NODES; i++)
+    fleet.proxies[i]->records_revision = 3;
+  hbfleet_adopt (&fleet, OUTSIDE, 6);
+  hbfleet_run (&fleet, 20 * TOU_US_PER_MS);
+  for (guint i = OUTSIDE + 1; i < FLEET_MAX_NODES; i++)
+    assert_true (fleet.proxies[i]->records_revision == 3
+                 || !hbfleet_is_valid (&fleet, i, 5));
+  assert_true (hbfleet_wait_valid (&fleet, 6));
+  assert_int_equal (fleet.proxies[OUTSIDE + 1]->records_revision, 7);
+  hbfleet_clear (&fleet);
+}
+
 /* Each node would ask each primary for its position; instead, one member's
    answer reaches all, and is never taken for newer than it is. */
 static void
@@ -249,6 +299,8 @@
           cmocka_unit_test (test_panel_is_replaced),
           cmocka_unit_test (test_outdated_panel_proves_nothing),
           cmocka_unit_test (test_unknown_panel_does_not_spread),
+          cmocka_unit_test (test_panel_spreads_from_one_node),
+          cmocka_unit_test (test_outdated_records_stay_outdated),
           cmocka_unit_test (test_position_is_shared),
           cmocka_unit_test (test_silent_node_is_reported) };
 
--- a/tests/test-voters.c
+++ b/tests/test-voters.c
@@ -17,6 +17,9 @@
 #define STOP_PAUSE_US (300 * TOU_US_PER_MS)
 /* Time for which a group is watched after a change of its primary began. */
 #define CHANGE_US (5 * TOU_US_PER_S)
+/* Time for a change of primary while the store turns some nodes away: changes
+   of the panel before it, heartbeats, and proofs that expire. */
+#define REPLACE_US (8 * TOU_US_PER_S)
 
 /* Starts nodes that use the primary of term 1. */
 static void
@@ -71,6 +74,15 @@
          && tou_panel_has_majority (&node->proxy->panel, &votes);
 }
 
+static gboolean
+fleet_has_majority (const ControlFleet *fleet)
+{
+  for (guint i = 0; i < fleet->n_nodes; i++)
+    if (node_counts_majority (&fleet->nodes[i]))
+      return TRUE;
+  return FALSE;
+}
+
 /* Announces a change of primary. A promotion follows once proofs that are as
    old as the majority have expired; nobody may use the old primary then. */
 static void
@@ -83,9 +95,8 @@
   while (tou_clock_us () < start_us + CHANGE_US)
     {
       fleet_run (fleet, 10 * TOU_US_PER_MS);
-      for (guint i = 0; i < fleet->n_nodes && majority_us == 0; i++)
-        if (node_counts_majority (&fleet->nodes[i]))
-          majority_us = tou_clock_us ();
+      if (majority_us == 0 && fleet_has_majority (fleet))
+        majority_us = tou_clock_us ();
       for (guint i = 0; i < fleet->n_nodes; i++)
         assert_false (majority_us != 0
                       && tou_clock_us () >= majority_us + TOU_AUTHORITY_VALID_US
@@ -93,6 +104,21 @@
     }
 }
 
+/* The primary is replaced, and all nodes use the new one. */
+static void
+fleet_check_replaced (ControlFleet *fleet)
+{
+  guint64 end_us = tou_clock_us () + REPLACE_US;
+
+  fleet_announce (fleet, 1);
+  while (!fleet_has_majority (fleet) && tou_clock_us () < end_us)
+    fleet_run (fleet, 10 * TOU_US_PER_MS);
+  assert_true (fleet_has_majority (fleet));
+  fleet_put_record (fleet, 2);
+  assert_true (fleet_wait_us (fleet, end_us - MIN (tou_clock_us (), end_us),
+                              fleet_uses_term, 2));
+}
+
 /* Guards against stale reads and lost writes at a replaced primary (review/6,
    review/7). */
 static void
@@ -159,6 +185,27 @@
     }
 }
 
+/* Guards against a change of primary that waits for as long as the store turns
+   the panel away: it learns of the others from their heartbeats. A single
+   newcomer is no majority with either of the two. */
+static void
+test_change_reaches_first_nodes (void **state)
+{
+  (void)state;
+  for (guint n_nodes = AWAY + 1; n_nodes <= NODES; n_nodes += 3)
+    {
+      ControlFleet fleet;
+
+      fleet_start (&fleet, AWAY);
+      fleet_run (&fleet, 4 * TOU_US_PER_S);
+      fleet_turn_away (&fleet, TRUE);
+      while (fleet.n_nodes < n_nodes)
+        fleet_add (&fleet);
+      fleet_check_replaced (&fleet);
+      fleet_clear (&fleet);
+    }
+}
+
 int
 main (void)
 {
@@ -166,7 +213,8 @@
       = { cmocka_unit_test (test_most_nodes_restart),
           cmocka_unit_test (test_most_nodes_restart_in_turn),
           cmocka_unit_test (test_newcomers_are_most_nodes),
-          cmocka_unit_test (test_few_nodes_outlive_store) };
+          cmocka_unit_test (test_few_nodes_outlive_store),
+          cmocka_unit_test (test_change_reaches_first_nodes) };
 
   return cmocka_run_group_tests_name ("voters", tests, NULL, NULL);
 }
