Let draining nodes leave the panel before they stop

Two of six nodes went on writing while the store turned them away and the other four had stopped. With a panel whose majority is among the four, they would not.

Cause: a node that drains keeps its seat until it is gone, and then too few of the members are left to agree to a smaller panel.

Change: heartbeats say that their sender is draining. The leader replaces such members, or makes the panel smaller if there is nobody else, and waits 100 ms first, because several often begin together. A draining node votes until the panel without it is settled, for at most 5 s; it does not wait where all nodes stop or during an outage of the store. It may be elected, after others: where the store turns the rest away, nobody else can change the panel.

A node drains for 2.2 s at least (PROXY_CLOSE_IDLE_US), and the change takes about 1.7 s, so a stop usually takes no longer than before.

--- a/src/session/control-panel.c
+++ b/src/session/control-panel.c
@@ -5,6 +5,14 @@
 /* Pause after a change of the panel, or a failed one. */
 #define CONTROL_PANEL_PAUSE_US (500 * TOU_US_PER_MS)
 
+/* Several members often begin to drain at the same time, and each change of the
+   panel takes seconds. */
+#define CONTROL_PANEL_GATHER_US (100 * TOU_US_PER_MS)
+/* Time for a change of the panel after a member has begun to drain: the lease
+   and the election of a leader, two writes and the proofs of the panel before.
+ */
+#define CONTROL_PANEL_LEAVE_US (5 * TOU_US_PER_S)
+
 /* A panel being written. It is adopted on success, before the watch returns
    it. */
 typedef struct
@@ -75,11 +83,48 @@
   return now_us >= control->panel_acked_us + TOU_AUTHORITY_VALID_US;
 }
 
+gboolean
+tou_control_holds_seat (const TouControl *control, guint64 now_us)
+{
+  const TouProxy *proxy = control->proxy;
+  const TouPanel *panel = &proxy->panel;
+  const TouName *self = &proxy->settings.node;
+  TouFollowPanel store;
+  GArray *nodes;
+  gboolean holds;
+
+  tou_peers_store (&store, control->peers, now_us);
+  /* During an outage of the store the panel stays. */
+  if (!control->connected && !store.informed)
+    return FALSE;
+  if (now_us >= proxy->drain_us + CONTROL_PANEL_LEAVE_US
+      || !(tou_panel_contains (panel, self)
+           || (panel->joint && tou_panel_is_previous (panel, self))))
+    return FALSE;
+  nodes = tou_peers_nodes (control->peers, now_us);
+  holds = tou_panel_can_replace ((const TouGatewayNode *)(void *)nodes->data,
+                                 nodes->len);
+  g_array_unref (nodes);
+  return holds;
+}
+
+/* TRUE once the panel has been found to need a change for a while. */
+static gboolean
+control_gather_changes (TouControl *control, gboolean wanted, guint64 now_us)
+{
+  if (!wanted)
+    control->panel_wanted_us = 0;
+  else if (control->panel_wanted_us == 0)
+    control->panel_wanted_us = now_us;
+  return wanted && now_us >= control->panel_wanted_us + CONTROL_PANEL_GATHER_US;
+}
+
 void
 tou_control_run_panel (TouControl *control, guint64 now_us)
 {
   TouPanel panel;
   GArray *nodes;
+  gboolean wanted;
 
   if (!tou_control_may_act (control, now_us) || control->writing_panel
       || now_us < control->panel_after_us)
@@ -95,9 +140,10 @@
       return;
     }
   nodes = tou_peers_nodes (control->peers, now_us);
-  if (tou_panel_choose (&panel, &control->proxy->panel,
-                        (const TouGatewayNode *)(void *)nodes->data,
-                        nodes->len))
+  wanted = tou_panel_choose (&panel, &control->proxy->panel,
+                             (const TouGatewayNode *)(void *)nodes->data,
+                             nodes->len);
+  if (control_gather_changes (control, wanted, now_us))
     tou_control_write_panel (control, &panel, control->proxy->panel.revision);
   g_array_unref (nodes);
 }
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -103,6 +103,7 @@
 
   gboolean writing_panel;
   guint64 panel_after_us;       /* no change of the panel before this time */
+  guint64 panel_wanted_us;      /* since when it needs one; 0: it does not */
   guint64 panel_acked_us;       /* when a majority of the previous one had it */
   guint64 panel_acked_revision; /* panel that panel_acked_us is about */
 };
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -44,9 +44,11 @@
 /* Elections of the nodes are spread over this time, to avoid conflicts. */
 #define CONTROL_ELECTION_SPREAD_MS 150
 /* Delays of nodes that leave the election to others: nodes outside the panel,
-   nodes that are not watching the store at the moment, and nodes that do not
-   reach a majority, and so cannot change a primary. */
+   draining nodes, which may be the only ones that reach the store, nodes that
+   are not watching the store at the moment, and nodes that do not reach a
+   majority, and so cannot change a primary. */
 #define CONTROL_ELECTION_OUTSIDE_US (500 * TOU_US_PER_MS)
+#define CONTROL_ELECTION_DRAINING_US (500 * TOU_US_PER_MS)
 #define CONTROL_ELECTION_UNINFORMED_US (3 * TOU_US_PER_S)
 #define CONTROL_ELECTION_MINORITY_US (2 * TOU_US_PER_S)
 /* A leader without heartbeats of half of the nodes for this long yields to one
@@ -787,7 +789,7 @@
     control->lease = 0;
   if (reply->result == PLAT_STORE_CONFLICT)
     control->leader_key_exists = TRUE;
-  if (reply->result != PLAT_STORE_OK || control->proxy->draining
+  if (reply->result != PLAT_STORE_OK || control->proxy->deregistered
       || control->election_era != control->era)
     return;
   control->is_leader = TRUE;
@@ -862,6 +864,8 @@
   /* A leader in the panel receives the heartbeats of all nodes already. */
   if (proxy->panel.revision != 0 && !control_is_member (control))
     spread_us += CONTROL_ELECTION_OUTSIDE_US;
+  if (proxy->draining)
+    spread_us += CONTROL_ELECTION_DRAINING_US;
   if (!tou_control_reaches_voters (control, now_us))
     spread_us += CONTROL_ELECTION_MINORITY_US;
 
@@ -876,7 +880,6 @@
     return;
   if (control->is_leader || control->electing || control->leader_key_exists
       || !control->proxy->synced || !control->registered
-      || control->proxy->draining
       || now_us < MAX (control->leader_absent_since_us + spread_us,
                        control->elect_after_us))
     return;
--- a/src/session/control.h
+++ b/src/session/control.h
@@ -34,4 +34,10 @@
 /** Decodes a store value. @return TOU_E_INVALID_JSON if it is not a record */
 int tou_record_decode (TouGroupRecord *out, const TouStr *value);
 
+/**
+ * Returns TRUE while this node, which is draining, has a vote in the panel that
+ * it is about to lose. If it ended before, the others might have no majority.
+ */
+gboolean tou_control_holds_seat (const TouControl *control, guint64 now_us);
+
 G_END_DECLS
--- a/src/session/gateway.h
+++ b/src/session/gateway.h
@@ -19,10 +19,11 @@
 {
   TouName node;
   TouName failure_domain;
-  gboolean alive;   /**< recent heartbeat; always TRUE for this node */
-  gboolean avoided; /**< statements through it failed recently */
-  gboolean expired; /**< no heartbeat for 3 s; sessions relayed for it end */
-  gboolean cut;     /**< only of this node: its direct path has failed */
+  gboolean alive;    /**< recent heartbeat; always TRUE for this node */
+  gboolean avoided;  /**< statements through it failed recently */
+  gboolean expired;  /**< no heartbeat for 3 s; sessions relayed for it end */
+  gboolean cut;      /**< only of this node: its direct path has failed */
+  gboolean draining; /**< it will stop, and is to leave the panel before */
 } TouGatewayNode;
 
 /**
--- a/src/session/panel.c
+++ b/src/session/panel.c
@@ -21,6 +21,12 @@
   return panel_list_contains (panel->members, panel->n_members, node);
 }
 
+gboolean
+tou_panel_is_previous (const TouPanel *panel, const TouName *node)
+{
+  return panel_list_contains (panel->previous, panel->n_previous, node);
+}
+
 guint
 tou_panel_required (const TouPanel *panel, const TouName *self)
 {
@@ -52,6 +58,15 @@
   return count;
 }
 
+gboolean
+tou_panel_can_replace (const TouGatewayNode *nodes, guint n_nodes)
+{
+  for (guint i = 0; i < n_nodes; i++)
+    if (nodes[i].alive && !nodes[i].draining)
+      return TRUE;
+  return FALSE;
+}
+
 /* Returns the node of the failure domain with the fewest members, or NULL. */
 static const TouGatewayNode *
 panel_next_member (const TouPanel *panel, const TouGatewayNode *nodes,
@@ -66,7 +81,8 @@
       guint hash = tou_name_hash (&nodes[i].node);
       guint count;
 
-      if (!nodes[i].alive || tou_panel_contains (panel, &nodes[i].node))
+      if (!nodes[i].alive || nodes[i].draining
+          || tou_panel_contains (panel, &nodes[i].node))
         continue;
       count = panel_count_in_domain (panel, nodes, n_nodes,
                                      &nodes[i].failure_domain);
@@ -85,13 +101,15 @@
                   const TouGatewayNode *nodes, guint n_nodes)
 {
   const TouGatewayNode *next;
+  gboolean keep_draining = !tou_panel_can_replace (nodes, n_nodes);
   guint n_kept;
 
   memset (out, 0, sizeof *out);
   if (current->joint)
     return FALSE;
   for (guint i = 0; i < n_nodes; i++)
-    if (!nodes[i].expired && tou_panel_contains (current, &nodes[i].node))
+    if (!nodes[i].expired && (keep_draining || !nodes[i].draining)
+        && tou_panel_contains (current, &nodes[i].node))
       out->members[out->n_members++] = nodes[i].node;
   n_kept = out->n_members;
   while (out->n_members < TOU_PANEL_SIZE
--- a/src/session/panel.h
+++ b/src/session/panel.h
@@ -49,6 +49,9 @@
 /** TRUE if @a node is a member; FALSE without a panel. */
 gboolean tou_panel_contains (const TouPanel *panel, const TouName *node);
 
+/** TRUE if @a node was a member of the previous panel of a joint one. */
+gboolean tou_panel_is_previous (const TouPanel *panel, const TouName *node);
+
 /**
  * Returns the number of other nodes whose answers prove a record to @a self; 0:
  * they cannot.
@@ -63,10 +66,13 @@
 gboolean tou_panel_has_majority (const TouPanel *panel,
                                  const TouPanelVotes *votes);
 
+/** TRUE if one of the nodes is alive and not draining. */
+gboolean tou_panel_can_replace (const TouGatewayNode *nodes, guint n_nodes);
+
 /**
  * Selects a panel, spread over the failure domains, without members that are
- * not registered or have expired. It is smaller than TOU_PANEL_SIZE if there
- * are fewer nodes.
+ * not registered, have expired, or are draining while other nodes are not. It
+ * is smaller than TOU_PANEL_SIZE if there are fewer nodes.
  *
  * @param nodes registered nodes, as the leader sees them
  * @param out the panel to write, without a revision; joint unless it is the
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -58,6 +58,8 @@
 #define PEERS_VOUCHES 4
 /* The sender watches the store and has had answers lately. */
 #define PEERS_FOLLOWS_STORE 8
+/* The sender will stop. */
+#define PEERS_DRAINING 16
 /* A node follows the store if a watch has returned within this share of the
    time within which a configuration must be applied: one watch and its round
    trip. */
@@ -98,6 +100,7 @@
   guint64 records_revision;
   guint64 urgent_revision;
   gboolean follows_store;
+  gboolean draining;
   GArray *silent;     /* of PeerSilent */
   GHashTable *groups; /* TouName to PeerReport */
 } Peer;
@@ -155,6 +158,7 @@
   peer->records_revision = 0;
   peer->urgent_revision = 0;
   peer->follows_store = FALSE;
+  peer->draining = FALSE;
   g_array_set_size (peer->silent, 0);
   g_hash_table_remove_all (peer->groups);
 }
@@ -505,6 +509,8 @@
   if (now_us < proxy->store_followed_us
                    + proxy->settings.config_apply_us / PEERS_FOLLOWS_DIVISOR)
     flags |= PEERS_FOLLOWS_STORE;
+  if (proxy->draining)
+    flags |= PEERS_DRAINING;
   msgpack_pack_uint64 (packer, flags);
   msgpack_pack_uint64 (packer, proxy->panel.revision);
   msgpack_pack_uint64 (packer, proxy->store_revision);
@@ -856,6 +862,7 @@
   peer->records_revision = header->records_revision;
   peer->urgent_revision = header->urgent_revision;
   peer->follows_store = (header->flags & PEERS_FOLLOWS_STORE) != 0;
+  peer->draining = (header->flags & PEERS_DRAINING) != 0;
   if (header->echo_us <= peer->last_heartbeat_us)
     {
       peer->echoed_us = MAX (peer->echoed_us, header->echo_us);
@@ -1444,7 +1451,8 @@
                           TRUE,
                           FALSE,
                           FALSE,
-                          FALSE };
+                          FALSE,
+                          proxy->draining };
   /* Nodes outside the panel receive heartbeats from the panel only. */
   gboolean hears_all
       = proxy->panel.revision == 0
@@ -1463,6 +1471,7 @@
 
       node.node = peer->node;
       node.failure_domain = peer->failure_domain;
+      node.draining = peer->draining;
       if (hears_all)
         {
           node.alive = !peers_misses (peers, peer, PEERS_ALIVE_US, now_us);
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -806,6 +806,8 @@
 {
   proxy->draining = TRUE;
   proxy->drain_us = now_us;
+  /* The leader has to learn of it while this node still votes. */
+  proxy->record_changed = TRUE;
   proxy->end_txns_us = now_us + proxy->settings.grace_us / 2;
 }
 
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -85,7 +85,8 @@
 
   if (daemon->deregister_start_us == 0
       && ((proxy->clients.length == 0
-           && tou_proxy_should_close_sessions (proxy, now_us))
+           && tou_proxy_should_close_sessions (proxy, now_us)
+           && !tou_control_holds_seat (daemon->control, now_us))
           || now_us + SESSIOND_EXIT_MARGIN_US >= daemon->kill_deadline_us))
     {
       daemon->deregister_start_us = now_us;
