Give a former panel up only once its members have ceased to vouch

Cause: members vouch without a time limit while they hear all nodes that they know, and a leader gave a panel up that had not acknowledged its successor for 66 s, also if members answered it. Two nodes that know only each other, because the others deregistered before the store turned both away, hear all nodes they know. With their links to the later nodes cut, they would go on after the 66 s, and so would members that answer the leader but have not received the panel.

Change: members vouch for at most an hour after they last followed the store, where they hear all nodes they know, else for 60 s as before. Calls that return no changes of the store no longer count. The leader counts a former member as expired 66 s after its last heartbeat if that member has answered the leader since this registered, and so would miss it, else after an hour and 6 s. Members that have the new panel count as before.

Service: an outage of the whole store ends writes after an hour now, where all nodes hear each other; there was no limit before. A panel of which most members are lost for good delays changes of primary for 66 s, or for an hour if the leader started after the loss; the store proves records meanwhile.

Evidence: test-panel/test_former_panel_expires and test_former_panel_that_answers_stays; session/split has the bounds.

--- a/src/session/authority.c
+++ b/src/session/authority.c
@@ -210,9 +210,18 @@
 }
 
 gboolean
-tou_authority_accepts_peer_proofs (guint n_nodes, guint n_reporting,
-                                   guint64 since_contact_us)
+tou_authority_vouches (guint n_nodes, guint n_reporting,
+                       guint64 since_followed_us)
 {
-  return n_reporting >= n_nodes
-         || since_contact_us < TOU_AUTHORITY_STORE_TIMEOUT_US;
+  return since_followed_us < (n_reporting >= n_nodes
+                                  ? TOU_AUTHORITY_COMPLETE_TIMEOUT_US
+                                  : TOU_AUTHORITY_STORE_TIMEOUT_US);
+}
+
+gboolean
+tou_authority_has_expired (gboolean knows_leader, guint64 since_us)
+{
+  return since_us >= (knows_leader ? TOU_AUTHORITY_STORE_TIMEOUT_US
+                                   : TOU_AUTHORITY_COMPLETE_TIMEOUT_US)
+                         + TOU_AUTHORITY_REMOVE_US;
 }
--- a/src/session/authority.h
+++ b/src/session/authority.h
@@ -28,10 +28,15 @@
  */
 #define TOU_AUTHORITY_REMOVE_US (6 * TOU_US_PER_S)
 /**
- * Nodes that do not receive heartbeats from all nodes accept proofs from each
- * other until their last contact with the store is this old.
+ * Members of a panel that do not hear all nodes vouch for their records until
+ * they last followed the store this long ago.
  */
 #define TOU_AUTHORITY_STORE_TIMEOUT_US (60 * TOU_US_PER_S)
+/**
+ * The same for members that hear all nodes that they know: there may be a
+ * leader among later nodes.
+ */
+#define TOU_AUTHORITY_COMPLETE_TIMEOUT_US (3600 * TOU_US_PER_S)
 
 /** The store's record of a group. */
 typedef struct
@@ -105,12 +110,23 @@
                                         guint64 since_heartbeat_us);
 
 /**
- * Returns TRUE if answers of other nodes are valid proofs.
+ * Returns TRUE if a member of the panel vouches for its records.
+ *
+ * @param n_reporting nodes that hear this one and answer, including this one
+ * @param since_followed_us time since the store's changes were last read
+ */
+gboolean tou_authority_vouches (guint n_nodes, guint n_reporting,
+                                guint64 since_followed_us);
+
+/**
+ * Returns TRUE if a member of a replaced panel no longer vouches to nodes with
+ * that panel, although it has not acknowledged the new one.
  *
- * @param since_contact_us time since the store last answered
+ * @param knows_leader it is known to count the caller among all nodes
+ * @param since_us time since its last heartbeat and since the new panel, which
+ *        it would have if it had followed the store after that
  */
-gboolean tou_authority_accepts_peer_proofs (guint n_nodes, guint n_reporting,
-                                            guint64 since_contact_us);
+gboolean tou_authority_has_expired (gboolean knows_leader, guint64 since_us);
 
 /** Returns TRUE if the record's primary may be used at @a now_us. */
 gboolean tou_authority_is_valid (TouAuthority *authority, guint n_required,
--- a/src/session/control-panel.c
+++ b/src/session/control-panel.c
@@ -67,10 +67,9 @@
   const TouPanel *panel = &proxy->panel;
   TouPanelVotes votes;
 
-  /* A previous panel that neither reads the store nor answers this node no
-     longer vouches for its records after this time. */
   if (now_us >= proxy->panel_adopted_us + TOU_AUTHORITY_STORE_TIMEOUT_US
-                    + TOU_AUTHORITY_REMOVE_US)
+                    + TOU_AUTHORITY_REMOVE_US
+      && tou_peers_previous_expired (control->peers, now_us))
     return TRUE;
   tou_peers_count_votes (&votes, control->peers, NULL);
   if (!tou_panel_has_majority (panel, &votes))
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -105,6 +105,13 @@
   GHashTable *groups; /* TouName to PeerReport */
 } Peer;
 
+/* What is known of a member of the previous panel, registered or not. */
+typedef struct
+{
+  guint64 heard_us;
+  gboolean knows_self; /* it has answered since this node registered */
+} PeerContact;
+
 /* Each node sends heartbeats to the panel and to the leader; the panel answers,
    and a majority of it proves a record and reports which nodes are silent.
    Before the first panel, few nodes send to all others. */
@@ -112,13 +119,15 @@
 {
   TouProxy *proxy;
   uv_udp_t udp;
-  GHashTable *nodes;        /* TouName to Peer */
-  guint64 sent_all_us;      /* last heartbeats to all nodes or the panel */
-  guint64 jitter_us;        /* added to the next interval */
-  guint64 sent_leader_us;   /* last heartbeat to the leader */
-  guint64 sent_state;       /* hash of the last state sent to the leader */
-  guint64 member_since_us;  /* when this node became a member of the panel */
+  GHashTable *nodes;       /* TouName to Peer */
+  guint64 sent_all_us;     /* last heartbeats to all nodes or the panel */
+  guint64 jitter_us;       /* added to the next interval */
+  guint64 sent_leader_us;  /* last heartbeat to the leader */
+  guint64 sent_state;      /* hash of the last state sent to the leader */
+  guint64 member_since_us; /* when this node became a member of the panel */
+  PeerContact previous[TOU_PANEL_SIZE]; /* of a joint panel */
   guint64 self_revision;    /* of this node's registration; 0: not seen */
+  guint64 self_since_us;    /* when it was first seen */
   guint64 logged_news;      /* panel in the last log line about its sender */
   guint logged_nodes;       /* number of nodes in the last log line about it */
   guint64 summary_us;       /* when the two below were updated */
@@ -174,6 +183,8 @@
     return;
   if (tou_name_equal (node, &peers->proxy->settings.node))
     {
+      if (revision != peers->self_revision)
+        peers->self_since_us = tou_clock_us ();
       peers->self_revision = revision;
       return;
     }
@@ -871,6 +882,26 @@
   return TRUE;
 }
 
+/* Updates what is known of the members of the previous panel. */
+static void
+peers_update_contacts (TouPeers *peers)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+
+  for (guint i = 0; i < panel->n_previous; i++)
+    {
+      const Peer *peer
+          = g_hash_table_lookup (peers->nodes, &panel->previous[i]);
+      PeerContact *contact = &peers->previous[i];
+
+      if (peer == NULL)
+        continue;
+      contact->heard_us = MAX (contact->heard_us, peer->last_heartbeat_us);
+      if (peers->self_revision != 0 && peer->echoed_us >= peers->self_since_us)
+        contact->knows_self = TRUE;
+    }
+}
+
 /* The panel and the leader answer every node, and a former member those that
    have not received its successor. */
 static gboolean
@@ -931,6 +962,7 @@
     TOU_COUNT (peers->proxy, PEER_UNKNOWN);
   if (peer == NULL || !peer_on_header (peers, peer, &header))
     return TRUE;
+  peers_update_contacts (peers);
   echo_us = header.echo_us <= peer->last_heartbeat_us ? header.echo_us : 0;
   if (has_news && news.panel.revision > peers->proxy->panel.revision)
     peers_learn_nodes (peers, &news);
@@ -1175,9 +1207,9 @@
           && peers->silent->len < PEERS_MAX_SILENT)
         g_array_append_val (peers->silent, silent);
     }
-  peers->vouches = tou_authority_accepts_peer_proofs (
-      proxy->n_nodes, n_reporting,
-      now_us - MIN (proxy->store_answered_us, now_us));
+  peers->vouches
+      = tou_authority_vouches (proxy->n_nodes, n_reporting,
+                               now_us - MIN (proxy->store_followed_us, now_us));
 }
 
 /* Exchanges heartbeats with the panel. */
@@ -1261,6 +1293,8 @@
     peers->member_since_us = now_us;
   proxy->panel = *panel;
   proxy->panel_adopted_us = now_us;
+  memset (peers->previous, 0, sizeof peers->previous);
+  peers_update_contacts (peers);
   proxy->record_changed = TRUE;
   peers->summary_us = 0;
   g_hash_table_iter_init (&iter, proxy->groups);
@@ -1311,6 +1345,25 @@
     out->n_previous += peers_has_acked (peers, &panel->previous[i], group);
 }
 
+gboolean
+tou_peers_previous_expired (const TouPeers *peers, guint64 now_us)
+{
+  const TouProxy *proxy = peers->proxy;
+  const TouPanel *panel = &proxy->panel;
+  guint count = 0;
+
+  for (guint i = 0; i < panel->n_previous; i++)
+    {
+      const PeerContact *contact = &peers->previous[i];
+      guint64 since_us = MAX (proxy->panel_adopted_us, contact->heard_us);
+
+      count += peers_has_acked (peers, &panel->previous[i], NULL)
+               || tou_authority_has_expired (contact->knows_self,
+                                             now_us - MIN (since_us, now_us));
+    }
+  return count * 2 > panel->n_previous;
+}
+
 void
 tou_peers_store (TouFollowPanel *out, const TouPeers *peers, guint64 now_us)
 {
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -75,6 +75,12 @@
 void tou_peers_count_votes (TouPanelVotes *out, const TouPeers *peers,
                             const TouGroup *group);
 
+/**
+ * TRUE if most members of the panel before have this node's panel, or have been
+ * silent for so long that they no longer vouch for the one before.
+ */
+gboolean tou_peers_previous_expired (const TouPeers *peers, guint64 now_us);
+
 /** Sets @a out to what the members of the panel report of the store. */
 void tou_peers_store (TouFollowPanel *out, const TouPeers *peers,
                       guint64 now_us);
--- a/tests/support/heartbeat-fleet.c
+++ b/tests/support/heartbeat-fleet.c
@@ -56,6 +56,7 @@
       TOU_OK);
   fleet->proxies[added]->synced = TRUE;
   fleet->proxies[added]->store_answered_us = tou_clock_us ();
+  fleet->proxies[added]->store_followed_us = tou_clock_us ();
   g_assert_cmpint (
       tou_peers_create (&fleet->peers[added], fleet->proxies[added]), ==,
       TOU_OK);
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -369,11 +369,15 @@
                 tou_authority_may_remove_node ((guint)arg_number (command, 1),
                                                (guint)arg_number (command, 2),
                                                arg_us (command, 3)));
-  else if (arg_is (command, 0, "accepts-proofs"))
+  else if (arg_is (command, 0, "vouches"))
     put_yes_no (script, command->rest,
-                tou_authority_accepts_peer_proofs (
-                    (guint)arg_number (command, 1),
-                    (guint)arg_number (command, 2), arg_us (command, 3)));
+                tou_authority_vouches ((guint)arg_number (command, 1),
+                                       (guint)arg_number (command, 2),
+                                       arg_us (command, 3)));
+  else if (arg_is (command, 0, "expired"))
+    put_yes_no (script, command->rest,
+                tou_authority_has_expired (arg_is (command, 1, "known"),
+                                           arg_us (command, 2)));
   else
     return FALSE;
   return TRUE;
--- a/tests/support/session-script.h
+++ b/tests/support/session-script.h
@@ -9,7 +9,7 @@
  *     adopt REVISION steady|moving          proof-store REVISION T
  *     proof-node NODE REVISION T            valid NODES T
  *     may-remove NODES REPORTING SINCE_HEARTBEAT
- *     accepts-proofs NODES REPORTING SINCE_CONTACT
+ *     vouches NODES REPORTING SINCE_FOLLOWED    expired known|unknown SINCE
  *     sample T TERM.POSITION                required T
  *     current NAME=VALUE...   target NAME=VALUE...   sync
  *     window SLOTS    rtt T    answered TAKEN TARGET T    refused T
--- a/tests/test-panel.c
+++ b/tests/test-panel.c
@@ -123,7 +123,7 @@
   fleet_start (&fleet);
   old_us = tou_clock_us () - TOU_AUTHORITY_STORE_TIMEOUT_US - TOU_US_PER_S;
   for (guint i = 0; i < FLEET_MAX_NODES; i++)
-    fleet.proxies[i]->store_answered_us = old_us;
+    fleet.proxies[i]->store_followed_us = old_us;
   hbfleet_run (&fleet, TOU_AUTHORITY_VALID_US + TOU_US_PER_S);
   /* All nodes answer, so an outage of the store alone ends nothing. */
   assert_true (hbfleet_wait_valid (&fleet, 5));
@@ -242,6 +242,79 @@
   hbfleet_clear (&fleet);
 }
 
+/* Makes a node read the panel that follows the one of the nodes from 0 on. */
+static void
+fleet_adopt_joint (HbFleet *fleet, guint node)
+{
+  TouPanel panel = fleet->proxies[node]->panel;
+
+  panel.revision = 9;
+  panel.joint = TRUE;
+  panel.n_previous = TOU_PANEL_SIZE;
+  for (guint i = 0; i < TOU_PANEL_SIZE; i++)
+    {
+      panel.previous[i] = fleet->proxies[i]->settings.node;
+      panel.members[i] = fleet->proxies[i + 3]->settings.node;
+    }
+  tou_peers_adopt_panel (fleet->peers[node], &panel);
+}
+
+/* Guards against a leader that goes on without a former panel whose members
+   still vouch for it to each other: they do so for an hour if they hear all
+   nodes that they know, and they may not know one that has started since. */
+static void
+test_former_panel_expires (void **state)
+{
+  HbFleet fleet;
+  const guint old = 6;
+  const guint newcomer = 8;
+  guint64 now_us;
+
+  (void)state;
+  hbfleet_init (&fleet);
+  for (guint i = 0; i < newcomer; i++)
+    hbfleet_add (&fleet);
+  for (guint i = 0; i < newcomer; i++)
+    {
+      hbfleet_adopt (&fleet, i, 5);
+      hbfleet_adopt_panel (&fleet, i, 3, 0);
+    }
+  assert_true (hbfleet_wait_valid (&fleet, 5));
+  for (guint i = 0; i < 3; i++)
+    hbfleet_stop (&fleet, i);
+  hbfleet_add (&fleet);
+  fleet_adopt_joint (&fleet, old);
+  fleet_adopt_joint (&fleet, newcomer);
+  now_us = tou_clock_us ();
+  assert_false (tou_peers_previous_expired (fleet.peers[old],
+                                            now_us + 65 * TOU_US_PER_S));
+  assert_true (tou_peers_previous_expired (fleet.peers[old],
+                                           now_us + 67 * TOU_US_PER_S));
+  assert_false (tou_peers_previous_expired (fleet.peers[newcomer],
+                                            now_us + 3600 * TOU_US_PER_S));
+  assert_true (tou_peers_previous_expired (fleet.peers[newcomer],
+                                           now_us + 3607 * TOU_US_PER_S));
+  hbfleet_clear (&fleet);
+}
+
+/* The same for members that answer, but do not get the new panel. */
+static void
+test_former_panel_that_answers_stays (void **state)
+{
+  HbFleet fleet;
+  guint64 now_us;
+
+  (void)state;
+  fleet_start (&fleet);
+  now_us = tou_clock_us ();
+  fleet.proxies[OUTSIDE]->leader = fleet.proxies[OUTSIDE]->settings.node;
+  fleet_adopt_joint (&fleet, OUTSIDE);
+  hbfleet_run (&fleet, TOU_US_PER_S);
+  assert_false (tou_peers_previous_expired (fleet.peers[OUTSIDE],
+                                            now_us + 66 * TOU_US_PER_S));
+  hbfleet_clear (&fleet);
+}
+
 /* Each node would ask each primary for its position; instead, one member's
    answer reaches all, and is never taken for newer than it is. */
 static void
@@ -301,6 +374,8 @@
           cmocka_unit_test (test_unknown_panel_does_not_spread),
           cmocka_unit_test (test_panel_spreads_from_one_node),
           cmocka_unit_test (test_outdated_records_stay_outdated),
+          cmocka_unit_test (test_former_panel_expires),
+          cmocka_unit_test (test_former_panel_that_answers_stays),
           cmocka_unit_test (test_position_is_shared),
           cmocka_unit_test (test_silent_node_is_reported) };
 
