Wait for proofs to expire while members answer a removed node

What callers saw: nothing; found by reading what rests on the removal of silent nodes after 6 s.

Cause: a change of primary does not wait for proofs to expire once all registered nodes have acknowledged it. A node that the leader has removed, because it does not hear it, still gets proofs from members that have not read the removal. The 6 s for which the leader waits after a removal do not cover members that the store turns away for longer.

Change: the leader waits as long as a majority of the panel, or of the one before, has not read the last removal. It costs nothing where members follow the store: they read it before they acknowledge.

Evidence: test-panel/test_removed_node_is_answered, in which the removed node has a proof 1 s after its removal; the code before would not have waited. The function under test is new, so the test cannot run on the code before.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -102,6 +102,7 @@
   /* Nodes that registered or were removed lately may use the old primary. */
   out->nodes_uncertain
       = control->follow.revision < out->record.revision
+        || !tou_peers_ignore_removed (control->peers)
         || (control->removed_us != 0
             && now_us < control->removed_us + TOU_AUTHORITY_REMOVE_US);
   out->majority_has_record = control_majority_has_record (state);
--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -126,6 +126,7 @@
   guint64 sent_state;      /* hash of the last state sent to the leader */
   guint64 member_since_us; /* when this node became a member of the panel */
   PeerContact previous[TOU_PANEL_SIZE]; /* of a joint panel */
+  guint64 removed_revision;             /* of the last removal of a node */
   guint64 self_revision;    /* of this node's registration; 0: not seen */
   guint64 self_since_us;    /* when it was first seen */
   guint64 logged_news;      /* panel in the last log line about its sender */
@@ -220,6 +221,7 @@
 
   if (peer != NULL && revision < peer->revision)
     return;
+  peers->removed_revision = MAX (peers->removed_revision, revision);
   g_hash_table_remove (peers->nodes, node);
   peers_update_count (peers);
 }
@@ -246,7 +248,10 @@
         if (peer_is_lost (value, revision))
           peers->has_lost = TRUE;
         else
-          g_hash_table_iter_remove (&iter);
+          {
+            peers->removed_revision = revision;
+            g_hash_table_iter_remove (&iter);
+          }
       }
   peers_update_count (peers);
 }
@@ -1345,6 +1350,35 @@
     out->n_previous += peers_has_acked (peers, &panel->previous[i], group);
 }
 
+/* TRUE if the members that have not read the removal are no majority. */
+static gboolean
+peers_majority_followed (const TouPeers *peers, const TouName *members,
+                         guint n_members)
+{
+  const TouProxy *proxy = peers->proxy;
+  guint n_behind = 0;
+
+  for (guint i = 0; i < n_members; i++)
+    {
+      const Peer *peer = g_hash_table_lookup (peers->nodes, &members[i]);
+      guint64 revision = peer != NULL ? peer->store_revision : 0;
+
+      if (tou_name_equal (&members[i], &proxy->settings.node))
+        revision = proxy->store_revision;
+      n_behind += revision < peers->removed_revision;
+    }
+  return n_behind * 2 <= n_members;
+}
+
+gboolean
+tou_peers_ignore_removed (const TouPeers *peers)
+{
+  const TouPanel *panel = &peers->proxy->panel;
+
+  return peers_majority_followed (peers, panel->members, panel->n_members)
+         && peers_majority_followed (peers, panel->previous, panel->n_previous);
+}
+
 gboolean
 tou_peers_previous_expired (const TouPeers *peers, guint64 now_us)
 {
--- a/src/session/peers.h
+++ b/src/session/peers.h
@@ -75,6 +75,12 @@
 void tou_peers_count_votes (TouPanelVotes *out, const TouPeers *peers,
                             const TouGroup *group);
 
+/**
+ * TRUE if no majority of the panel, or of the one before, answers nodes whose
+ * registrations have been removed: most of its members have read that.
+ */
+gboolean tou_peers_ignore_removed (const TouPeers *peers);
+
 /**
  * TRUE if most members of the panel before have this node's panel, or have been
  * silent for so long that they no longer vouch for the one before.
--- a/tests/test-panel.c
+++ b/tests/test-panel.c
@@ -315,6 +315,31 @@
   hbfleet_clear (&fleet);
 }
 
+/* Guards against a change of primary that takes all registered nodes for all
+   that can have a proof: members that have not read that a node was removed
+   still answer it. */
+static void
+test_removed_node_is_answered (void **state)
+{
+  HbFleet fleet;
+  TouPeers *leader;
+
+  (void)state;
+  fleet_start (&fleet);
+  leader = fleet.peers[0];
+  assert_true (tou_peers_ignore_removed (leader));
+  fleet.proxies[0]->store_revision = 30;
+  fleet.proxies[1]->store_revision = 30;
+  tou_peers_remove (leader, &fleet.proxies[OUTSIDE]->settings.node, 30);
+  hbfleet_run (&fleet, TOU_US_PER_S);
+  assert_true (hbfleet_is_valid (&fleet, OUTSIDE, 5));
+  assert_false (tou_peers_ignore_removed (leader));
+  fleet.proxies[2]->store_revision = 30;
+  hbfleet_run (&fleet, TOU_US_PER_S);
+  assert_true (tou_peers_ignore_removed (leader));
+  hbfleet_clear (&fleet);
+}
+
 /* Each node would ask each primary for its position; instead, one member's
    answer reaches all, and is never taken for newer than it is. */
 static void
@@ -376,6 +401,7 @@
           cmocka_unit_test (test_outdated_records_stay_outdated),
           cmocka_unit_test (test_former_panel_expires),
           cmocka_unit_test (test_former_panel_that_answers_stays),
+          cmocka_unit_test (test_removed_node_is_answered),
           cmocka_unit_test (test_position_is_shared),
           cmocka_unit_test (test_silent_node_is_reported) };
 
