Review: replace case 13, which case 9 shows already, by entries of other writers

Cause: entries that lack born, version, coldMs or sequence are taken for a database's own, and set one that is leaving to ready again.

--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -757,6 +757,9 @@
   int port;
   int n_connections;
   bool primary;
+  bool draining;
+  double last_run_s;
+  int sequence;
   uint64_t term;
   uint64_t position;
 } Database;
@@ -781,7 +784,7 @@
 static const char *const database_zones[] = { "east", "west", "north" };
 
 static void
-database_register (Database *database, int sequence)
+database_register (Database *database)
 {
   char key[64];
   char value[512];
@@ -790,21 +793,55 @@
   snprintf (value, sizeof value,
             "{\"service\":\"" STAND_SERVICE "\",\"address\":\"%s.20:%d\","
             "\"zone\":\"%s\",\"version\":\"v1\",\"capacity\":%d,\"state\":"
-            "\"ready\",\"coldMs\":0,\"dbRole\":\"%s\",\"sequence\":%d,"
+            "\"%s\",\"coldMs\":0,\"dbRole\":\"%s\",\"sequence\":%d,"
             "\"born\":1790000000000}",
             stand.network, database->port, database_zones[database->index],
-            SLOTS, database->primary ? "primary" : "replica", sequence);
+            SLOTS, database->draining ? "draining" : "ready",
+            database->primary ? "primary" : "replica", ++database->sequence);
   stand_store_put (key, value);
 }
 
+void
+stand_database_drain (int database)
+{
+  databases.all[database].draining = true;
+  database_register (&databases.all[database]);
+  stand_record ("%s reports draining; the store has accepted it",
+                databases.all[database].id);
+}
+
+void
+stand_database_overwrite (int database)
+{
+  const Database *written = &databases.all[database];
+  char key[64];
+  char value[512];
+
+  snprintf (key, sizeof key, "servers/%s", written->id);
+  snprintf (value, sizeof value,
+            "{\"service\":\"" STAND_SERVICE "\",\"address\":\"%s.20:%d\","
+            "\"zone\":\"%s\",\"capacity\":%d,\"state\":\"ready\","
+            "\"dbRole\":\"%s\"}",
+            stand.network, written->port, database_zones[written->index], SLOTS,
+            written->primary ? "primary" : "replica");
+  stand_store_put (key, value);
+  stand_record ("another writer: entry %s without born, version, coldMs and "
+                "sequence",
+                written->id);
+}
+
+double
+stand_database_last_run (int database)
+{
+  return databases.all[database].last_run_s;
+}
+
 static void *
 database_beat (void *data)
 {
-  Database *database = data;
-
-  for (int sequence = 1;; sequence++)
+  while (true)
     {
-      database_register (database, sequence);
+      database_register (data);
       usleep (HEARTBEAT_MS * 1000);
     }
   return NULL;
@@ -951,6 +988,8 @@
   usleep (6000);
   pthread_mutex_lock (&databases.lock);
   database_note_run (id);
+  if (strcmp (id, "-") != 0)
+    session->database->last_run_s = stand_now ();
   if (writes)
     {
       session->wrote = true;
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -63,6 +63,15 @@
 /** Number of statements with this id that databases have run. */
 int stand_database_runs (const char *id);
 
+/** A database reports that it is leaving; it goes on serving. */
+void stand_database_drain (int database);
+
+/** Another writer writes an entry under the database's id, with few fields. */
+void stand_database_overwrite (int database);
+
+/** When a database last ran a client's statement; 0: never. */
+double stand_database_last_run (int database);
+
 /** Starts @a n nodes and waits until all are ready. */
 void stand_nodes_start (int n);
 pid_t stand_node_pid (int node);
