--- a/review/14/case.c
+++ b/review/14/case.c
@@ -58,9 +58,7 @@
   int n_broken = 0;
   int n_other = 0;
 
-  if (argc != 3)
-    return 2;
-  stand_start (argv[1], argv[2]);
+  stand_start (argc, argv);
   host = stand_has_trouble () ? LONG_HOST : SHORT_HOST;
   stand_nodes_start (N_NODES);
   for (int i = 0; !is_served (0, "signoff", "first"); i++)
--- a/review/stand-3/stand.c
+++ b/review/stand-3/stand.c
@@ -1569,14 +1569,23 @@
       "\"syncReplicas\":0}],\"limits\":{\"txIdleMs\":3000}}";
 
 void
-stand_start (const char *folder, const char *program)
+stand_start (int argc, char **argv)
 {
   char path[320];
-  const char *trouble = getenv ("TROUBLE");
+  const char *folder;
+  const char *program;
 
   signal (SIGPIPE, SIG_IGN);
   stand_now ();
-  stand.trouble = trouble == NULL || strcmp (trouble, "0") != 0;
+  if (argc != 4
+      || (strcmp (argv[3], "trouble") != 0 && strcmp (argv[3], "calm") != 0))
+    {
+      fprintf (stderr, "usage: %s FOLDER PROGRAM trouble|calm\n", argv[0]);
+      exit (2);
+    }
+  folder = argv[1];
+  program = argv[2];
+  stand.trouble = strcmp (argv[3], "trouble") == 0;
   pthread_mutex_init (&stand.record_lock, NULL);
   pthread_mutex_init (&store.lock, NULL);
   pthread_cond_init (&store.changed, NULL);
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -41,14 +41,12 @@
 void stand_fail (const char *reason) __attribute__ ((noreturn));
 
 /**
- * Starts the stand-ins.
- *
- * @param folder folder of the case, for record.txt
- * @param program the node's program
+ * Starts the stand-ins. The arguments are those of the program: the folder of
+ * the case, for record.txt, the node's program, and "trouble" or "calm".
  */
-void stand_start (const char *folder, const char *program);
+void stand_start (int argc, char **argv);
 
-/** TRUE unless TROUBLE=0. */
+/** FALSE if the disruption is left out ("calm"). */
 bool stand_has_trouble (void);
 
 /** Writes a key as the operator or a database does. @return its revision */
