Serve routes whose host or name is long

Cause: names were copied into fields of 79 bytes. document_route() left out a route whose name or host did not fit, without a log line, and the version was taken as in force. client_on_startup() refused longer database names as well.

Hosts and names of routes, and the database that a client asks for, go through it, so a host is found at any length, and two hosts that differ in their last byte stay two routes.

--- a/include/toucanscale/str.h
+++ b/include/toucanscale/str.h
@@ -15,10 +15,13 @@
   gsize len;  /**< bytes, without the terminator */
 } TouStr;
 
-/** Maximum length of a name or address, in bytes. */
+/** Maximum length of a TouName, in bytes. */
 #define TOU_NAME_MAX 79
 
-/** Name of a node, group, endpoint or region, or an "ip:port" address. */
+/**
+ * Name of a node, group, endpoint or region, or an "ip:port" address. It stands
+ * for a longer name in its shortened form; see tou_name_shorten().
+ */
 typedef struct
 {
   guint8 len;
@@ -52,7 +55,21 @@
 /** Sets @a out from a C string. */
 int tou_name_set_c (TouName *out, const char *text);
 
-/** Returns a name from a C string, truncated to TOU_NAME_MAX bytes. */
+/**
+ * Sets @a out to a name of any length that comes from outside.
+ *
+ * A name of more than TOU_NAME_MAX bytes is shortened to its first characters,
+ * '~' and its SHA-256 in hexadecimal digits, so that different names stay
+ * different. A name that has this form by itself is shortened as well. The
+ * result is text if the name is, and does not depend on the process: nodes and
+ * keys of the store use it in place of the name.
+ */
+void tou_name_shorten (TouName *out, const char *data, gsize len);
+
+/** TRUE if @a name is the shortened form of another name. */
+gboolean tou_name_is_shortened (const TouName *name);
+
+/** Returns a name from a C string; a long one is shortened. */
 TouName tou_name (const char *text);
 
 /** Compares the bytes of two names. */
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -927,12 +927,10 @@
   if (client->proxy->clients.length > tou_proxy_session_limit (client->proxy))
     client_reject (client, TOU_SQL_E_TOO_MANY_CONNECTIONS,
                    "too many sessions on this node; retry at another one");
-  else if (tou_name_set (&client->database, message->database.data,
-                         message->database.len)
-           != TOU_OK)
-    client_reject (client, TOU_SQL_E_UNKNOWN_DATABASE, "no such database");
   else
     {
+      tou_name_shorten (&client->database, message->database.data,
+                        message->database.len);
       /* A longer one is no team's key. */
       if (message->user.len > 0 && message->user.len <= TOU_KEY_MAX)
         client->key = g_strndup (message->user.data, message->user.len);
--- a/src/util/str.c
+++ b/src/util/str.c
@@ -5,6 +5,12 @@
 #include <stdarg.h>
 #include <string.h>
 
+/* Hexadecimal digits of a SHA-256. */
+#define NAME_DIGEST_LEN 64
+#define NAME_DIGEST_MARK '~'
+/* Bytes of a name that its shortened form begins with, at the most. */
+#define NAME_PREFIX_MAX (TOU_NAME_MAX - 1 - NAME_DIGEST_LEN)
+
 void
 tou_str_init (TouStr *out, const char *data, gsize len)
 {
@@ -87,12 +93,68 @@
   return tou_name_set (out, text, strlen (text));
 }
 
+/* TRUE if the bytes have the form of a shortened name. */
+static gboolean
+name_has_digest (const char *data, gsize len)
+{
+  const char *digest;
+
+  if (len > TOU_NAME_MAX || len < 1 + NAME_DIGEST_LEN)
+    return FALSE;
+  digest = data + len - NAME_DIGEST_LEN;
+  if (digest[-1] != NAME_DIGEST_MARK)
+    return FALSE;
+  for (gsize i = 0; i < NAME_DIGEST_LEN; i++)
+    if (!g_ascii_isdigit (digest[i]) && (digest[i] < 'a' || digest[i] > 'f'))
+      return FALSE;
+  return TRUE;
+}
+
+/* Number of bytes of a name that its shortened form begins with: none of a
+   character is left out. */
+static gsize
+name_prefix_len (const char *data, gsize len)
+{
+  gsize prefix = MIN (len, NAME_PREFIX_MAX);
+
+  while (prefix > 0 && prefix < len && ((guchar)data[prefix] & 0xc0) == 0x80)
+    prefix--;
+  return prefix;
+}
+
+void
+tou_name_shorten (TouName *out, const char *data, gsize len)
+{
+  gsize prefix;
+  char *digest;
+
+  if (len <= TOU_NAME_MAX && !name_has_digest (data, len))
+    {
+      tou_name_set (out, data, len);
+      return;
+    }
+  memset (out, 0, sizeof *out);
+  prefix = name_prefix_len (data, len);
+  memcpy (out->data, data, prefix);
+  digest = g_compute_checksum_for_data (G_CHECKSUM_SHA256, (guchar *)data, len);
+  out->data[prefix] = NAME_DIGEST_MARK;
+  memcpy (out->data + prefix + 1, digest, NAME_DIGEST_LEN);
+  out->len = (guint8)(prefix + 1 + NAME_DIGEST_LEN);
+  g_free (digest);
+}
+
+gboolean
+tou_name_is_shortened (const TouName *name)
+{
+  return name_has_digest (name->data, name->len);
+}
+
 TouName
 tou_name (const char *text)
 {
-  TouName name = { 0 };
+  TouName name;
 
-  tou_name_set (&name, text, MIN (strlen (text), TOU_NAME_MAX));
+  tou_name_shorten (&name, text, strlen (text));
   return name;
 }
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -8,6 +8,8 @@
 #include "relay.h"
 #include "stream.h"
 
+#include "document.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -473,6 +475,26 @@
   tou_proxy_set_routing (script->proxy, routing);
 }
 
+/* Both nodes receive a version of the configuration. */
+static void
+run_config (Script *script, const char *text)
+{
+  TouStr value = { (char *)text, strlen (text) };
+  TouProxy *proxies[] = { script->proxy, script->gateway_proxy };
+
+  for (guint i = 0; i < G_N_ELEMENTS (proxies); i++)
+    {
+      TouRouting *routing;
+
+      if (proxies[i] == NULL)
+        continue;
+      if (plat_document_decode_routing (&routing, &value) == TOU_OK)
+        tou_proxy_set_routing (proxies[i], routing);
+      else
+        g_string_append_printf (script->out, "%s\n", tou_status_message ());
+    }
+}
+
 static void
 run_queue_limit (Script *script, char **words)
 {
@@ -735,6 +757,8 @@
             : "no");
   else if (strcmp (words[0], "route") == 0)
     run_route (script, words);
+  else if (strcmp (words[0], "config") == 0)
+    run_config (script, rest);
   else if (strcmp (words[0], "key") == 0)
     {
       script->has_teams = TRUE;
--- a/tests/test-types.c
+++ b/tests/test-types.c
@@ -71,6 +71,53 @@
                     TOU_E_INVALID_ARGUMENT);
 }
 
+/* Long names that differ in their last byte must stay different, and none may
+ * equal the shortened form of another. */
+static void
+test_long_names_stay_different (void **state)
+{
+  char text[2 * TOU_NAME_MAX];
+  TouName kept;
+  TouName a;
+  TouName b;
+
+  (void)state;
+  memset (text, 'x', sizeof text);
+  tou_name_shorten (&kept, text, TOU_NAME_MAX);
+  assert_int_equal (kept.len, TOU_NAME_MAX);
+  assert_false (tou_name_is_shortened (&kept));
+  tou_name_shorten (&a, text, TOU_NAME_MAX + 1);
+  assert_true (tou_name_is_shortened (&a));
+  assert_false (tou_name_equal (&a, &kept));
+  text[TOU_NAME_MAX] = 'y';
+  tou_name_shorten (&b, text, TOU_NAME_MAX + 1);
+  assert_false (tou_name_equal (&a, &b));
+  /* A name from outside that looks like the form of another one. */
+  tou_name_shorten (&b, a.data, a.len);
+  assert_true (tou_name_is_shortened (&b));
+  assert_false (tou_name_equal (&a, &b));
+}
+
+/* A character that is cut in the middle would make a record of the store
+ * unreadable, because it would not be text. */
+static void
+test_long_names_stay_text (void **state)
+{
+  GString *text = g_string_new ("x");
+  TouName name;
+
+  (void)state;
+  while (text->len <= TOU_NAME_MAX)
+    g_string_append (text, "\u0444");
+  tou_name_shorten (&name, text->str, text->len);
+  assert_true (g_utf8_validate (name.data, name.len, NULL));
+  /* Bytes that are no text, as clients may send. */
+  memset (text->str, 0x80, text->len);
+  tou_name_shorten (&name, text->str, text->len);
+  assert_true (g_utf8_validate (name.data, name.len, NULL));
+  g_string_free (text, TRUE);
+}
+
 int
 main (void)
 {
@@ -78,6 +125,8 @@
     cmocka_unit_test (test_session_merge_keeps_maximum),
     cmocka_unit_test (test_session_overflow_sets_flag),
     cmocka_unit_test (test_request_id_round_trip),
+    cmocka_unit_test (test_long_names_stay_different),
+    cmocka_unit_test (test_long_names_stay_text),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
