Serve databases whose service or id is long

What callers saw: nothing was served on a service of more than 79 bytes, or by databases with such an id: nodes refused the registration, once a heartbeat, with a line that named neither the database nor the reason.

Cause: the decoder of a registration copied service, id and zone into fields of 79 bytes. Elsewhere tou_name() truncated the names behind a key's prefix, so two databases, nodes or groups with the same first 79 bytes shared one entry, also one that is the record of a primary.

Change: services, ids and zones of any length are kept in the form of tou_name_shorten(), in tables, messages between nodes and keys of the store. A service with blanks cannot be sent to a database, and is refused. endpoint_unreadable names the endpoint and the field, and is written when the reason changes. An order for a database that is not registered in the group any more counts as refused.

Evidence: on proxy/long-service cannot register a database ("cannot decode record"), and test-change finds no record of the service in 20 s.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -196,6 +196,27 @@
   tou_handover_ordered (state->handover, answer, tou_clock_us ());
 }
 
+/* The platform is told the full names, which the registry has. A database that
+   has left it since it was selected is not running. */
+static void
+control_order_promotion (ControlGroup *state, const TouName *id, guint64 now_us)
+{
+  TouControl *control = state->control;
+  const TouEndpoint *endpoint
+      = g_hash_table_lookup (control->proxy->endpoints, id);
+
+  if (endpoint == NULL || endpoint->group != state->group)
+    {
+      tou_handover_ordered (state->handover, TOU_HANDOVER_REJECTED, now_us);
+      return;
+    }
+  TOU_COUNT (control->proxy, HANDOVERS);
+  plat_store_request_promotion (
+      control->store, &endpoint->info, control->proxy->settings.node.data,
+      control->token, control->lease_until_us - now_us,
+      control_on_promotion_answer, state);
+}
+
 static TouEndpoint *
 control_find_endpoint (ControlGroup *state, const TouName *id)
 {
@@ -235,11 +256,7 @@
         tou_endpoint_step_down (endpoint, view->record.term + 1, now_us);
       break;
     case TOU_HANDOVER_PROMOTE:
-      TOU_COUNT (control->proxy, HANDOVERS);
-      plat_store_request_promotion (
-          control->store, &state->group->name, &action->endpoint,
-          &control->proxy->settings.node, control->token,
-          control->lease_until_us - now_us, control_on_promotion_answer, state);
+      control_order_promotion (state, &action->endpoint, now_us);
       break;
     case TOU_HANDOVER_NONE:
       break;
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -78,6 +78,8 @@
   TouFollow follow;        /* of the store's changes */
   guint64 list_revision;   /* revision of the first page of the list */
   GHashTable *listed_keys; /* keys received in the current list */
+  /* TouName of an endpoint whose record names no database to the reason. */
+  GHashTable *unreadable;
 
   gboolean registering;
   gboolean registered;
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -99,6 +99,18 @@
   return status;
 }
 
+/* Sets @a out to the name behind @a prefix in a key that nodes have written. It
+   is the name of a TouName, so a longer one has another writer. */
+static gboolean
+control_key_name (TouName *out, const char *key, const char *prefix)
+{
+  if (tou_name_set_c (out, key + strlen (prefix)) == TOU_OK)
+    return TRUE;
+  tou_evlog (TOU_EVLOG_STATE, "key_unreadable",
+             "\"prefix\":\"%s\",\"bytes\":%zu", prefix, strlen (key));
+  return FALSE;
+}
+
 static void
 control_end_leadership (TouControl *control, const char *reason)
 {
@@ -206,29 +218,51 @@
              endpoint->group->name.data);
 }
 
+/* Counts a registration that names no database. It is written with each
+   heartbeat, and is logged when the reason changes. */
+static void
+control_refuse_endpoint (TouControl *control, const TouName *id,
+                         const PlatStoreItem *item)
+{
+  const char *reason = tou_status_message ();
+  TouSlice slice = { id->data, id->len };
+  char text[TOU_NAME_MAX + 1];
+
+  TOU_COUNT (control->proxy, MALFORMED);
+  if (g_strcmp0 (g_hash_table_lookup (control->unreadable, id), reason) == 0)
+    return;
+  g_hash_table_replace (control->unreadable, g_memdup2 (id, sizeof *id),
+                        g_strdup (reason));
+  tou_evlog (TOU_EVLOG_STATE, "endpoint_unreadable",
+             "\"endpoint\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
+             ",\"bytes\":%zu,\"error\":\"%s\"",
+             tou_evlog_sanitize (text, sizeof text, slice), item->revision,
+             item->value.len, reason);
+}
+
 static void
 control_on_endpoint (TouControl *control, const PlatStoreItem *item)
 {
   const char *id = item->key + strlen (PLAT_PREFIX_ENDPOINTS);
-  TouName name = tou_name (id);
-  TouEndpoint *endpoint
-      = g_hash_table_lookup (control->proxy->endpoints, &name);
+  TouEndpoint *endpoint;
+  TouName name;
   TouEndpointInfo info;
 
+  tou_name_shorten (&name, id, strlen (id));
+  endpoint = g_hash_table_lookup (control->proxy->endpoints, &name);
   if (item->deleted)
     {
+      g_hash_table_remove (control->unreadable, &name);
       if (endpoint != NULL)
         control_mark_endpoint_missing (endpoint, tou_clock_us ());
       return;
     }
   if (plat_document_decode_endpoint (&info, id, &item->value) != TOU_OK)
     {
-      TOU_COUNT (control->proxy, MALFORMED);
-      tou_evlog (TOU_EVLOG_STATE, "endpoint_unreadable",
-                 "\"revision\":%" G_GUINT64_FORMAT ",\"bytes\":%zu",
-                 item->revision, item->value.len);
+      control_refuse_endpoint (control, &name, item);
       return;
     }
+  g_hash_table_remove (control->unreadable, &name);
   if (endpoint == NULL || !tou_name_equal (&endpoint->info.group, &info.group)
       || endpoint->info.draining != info.draining
       || endpoint->info.role != info.role || endpoint->removed)
@@ -246,12 +280,14 @@
       endpoint = NULL;
     }
   if (endpoint != NULL)
+    tou_endpoint_update (endpoint, &info);
+  else
     {
-      tou_endpoint_update (endpoint, &info);
-      return;
+      endpoint = tou_endpoint_create (control->proxy, &info);
+      g_hash_table_insert (control->proxy->endpoints, &endpoint->info.id,
+                           endpoint);
     }
-  endpoint = tou_endpoint_create (control->proxy, &info);
-  g_hash_table_insert (control->proxy->endpoints, &endpoint->info.id, endpoint);
+  tou_endpoint_info_clear (&info);
 }
 
 static void
@@ -274,11 +310,13 @@
 static void
 control_on_node (TouControl *control, const PlatStoreItem *item)
 {
-  TouName node = tou_name (item->key + strlen (CONTROL_NODE_PREFIX));
   TouName failure_domain = { 0 };
   TouName address;
+  TouName node;
   const char *blank;
 
+  if (!control_key_name (&node, item->key, CONTROL_NODE_PREFIX))
+    return;
   if (item->deleted)
     {
       /* The leader removed this node because its heartbeats were missing. */
@@ -309,10 +347,11 @@
 static void
 control_on_group (TouControl *control, const PlatStoreItem *item)
 {
-  TouName name = tou_name (item->key + strlen (CONTROL_GROUP_PREFIX));
   TouGroupRecord record;
+  TouName name;
 
-  if (item->deleted)
+  if (item->deleted
+      || !control_key_name (&name, item->key, CONTROL_GROUP_PREFIX))
     return;
   if (tou_record_decode (&record, &item->value) != TOU_OK)
     {
@@ -329,10 +368,12 @@
 static void
 control_on_logs (TouControl *control, const PlatStoreItem *item)
 {
-  TouName name = tou_name (item->key + strlen (CONTROL_LOGS_PREFIX));
+  TouName name;
 
-  tou_control_store_logs (
-      tou_control_group (control, tou_group_get (control->proxy, &name)), item);
+  if (control_key_name (&name, item->key, CONTROL_LOGS_PREFIX))
+    tou_control_store_logs (
+        tou_control_group (control, tou_group_get (control->proxy, &name)),
+        item);
 }
 
 static void
@@ -448,8 +489,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       TouEndpoint *endpoint = value;
-      char *endpoint_key
-          = g_strconcat (PLAT_PREFIX_ENDPOINTS, endpoint->info.id.data, NULL);
+      char *endpoint_key = g_strconcat (
+          PLAT_PREFIX_ENDPOINTS, tou_endpoint_info_id (&endpoint->info), NULL);
 
       if (!g_hash_table_contains (control->listed_keys, endpoint_key))
         control_mark_endpoint_missing (endpoint, now_us);
@@ -459,9 +500,10 @@
   while (g_hash_table_iter_next (&iter, &key, NULL))
     if (g_str_has_prefix (key, CONTROL_NODE_PREFIX))
       {
-        TouName name = tou_name ((char *)key + strlen (CONTROL_NODE_PREFIX));
+        TouName name;
 
-        g_hash_table_add (nodes, g_memdup2 (&name, sizeof name));
+        if (control_key_name (&name, key, CONTROL_NODE_PREFIX))
+          g_hash_table_add (nodes, g_memdup2 (&name, sizeof name));
       }
   tou_peers_retain (control->peers, nodes, control->list_revision);
   control->registered
@@ -670,6 +712,7 @@
     {
       control->list_revision = 0;
       g_hash_table_remove_all (control->listed_keys);
+      g_hash_table_remove_all (control->unreadable);
       control_list_page (control, NULL);
       return;
     }
@@ -730,8 +773,10 @@
     {
       const PlatStoreItem *item
           = &g_array_index (reply->items, PlatStoreItem, i);
-      TouName name = tou_name (item->key + strlen (CONTROL_GROUP_PREFIX));
+      TouName name;
 
+      if (!control_key_name (&name, item->key, CONTROL_GROUP_PREFIX))
+        continue;
       control_on_group (control, item);
       tou_authority_prove_by_store (
           tou_group_get (control->proxy, &name)->authority, item->revision,
@@ -1037,6 +1082,8 @@
   tou_follow_init (&control->follow);
   control->groups = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
                                            NULL, control_group_free);
+  control->unreadable = g_hash_table_new_full (
+      tou_name_hash, tou_name_equal_func, g_free, g_free);
   control->listed_keys
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   *out = control;
@@ -1049,6 +1096,7 @@
   if (control == NULL)
     return;
   g_hash_table_destroy (control->groups);
+  g_hash_table_destroy (control->unreadable);
   g_hash_table_destroy (control->listed_keys);
   g_free (control);
 }
--- a/src/session/endpoint.c
+++ b/src/session/endpoint.c
@@ -521,7 +521,7 @@
 
   endpoint->proxy = proxy;
   endpoint->group = tou_group_get (proxy, &info->group);
-  endpoint->info = *info;
+  tou_endpoint_info_copy (&endpoint->info, info);
   endpoint->links = g_ptr_array_new ();
   tou_window_init (&endpoint->window, info->slots);
   if (info->draining)
@@ -562,8 +562,12 @@
   gboolean restarted = !tou_name_equal (&endpoint->info.address, &info->address)
                        || (info->started_ms != 0
                            && endpoint->info.started_ms != info->started_ms);
+  TouEndpointInfo updated;
 
-  endpoint->info = *info;
+  /* @a info may have the same full names. */
+  tou_endpoint_info_copy (&updated, info);
+  tou_endpoint_info_clear (&endpoint->info);
+  endpoint->info = updated;
   tou_group_configure (endpoint->group);
   endpoint->removed = FALSE;
   endpoint->missing_since_us = 0;
@@ -594,5 +598,6 @@
   g_ptr_array_remove_fast (endpoint->group->endpoints, endpoint);
   tou_group_configure (endpoint->group);
   g_ptr_array_unref (endpoint->links);
+  tou_endpoint_info_clear (&endpoint->info);
   g_free (endpoint);
 }
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -543,6 +543,23 @@
   tou_budget_enforce (link->endpoint->proxy->budget);
 }
 
+/* Nodes call a database by its TouName, a database knows itself by its full
+   name. */
+static void
+link_put_startup (const TouLink *link, GString *out)
+{
+  const TouEndpoint *endpoint = link->endpoint;
+  const TouEndpointInfo *info = &endpoint->info;
+  const char *node = endpoint->proxy->settings.node.data;
+
+  if (link->gateway_node.len > 0)
+    plat_wire_put_startup (out, info->group.data, node, info->id.data);
+  else
+    plat_wire_put_startup (out, tou_endpoint_info_group (info),
+                           link->team.len > 0 ? link->team.data : node,
+                           tou_endpoint_info_id (info));
+}
+
 static void
 link_on_connected (uv_connect_t *connect, int status)
 {
@@ -569,10 +586,7 @@
                          tou_clock_us () - link->since_us);
   link->state = LINK_STARTING;
   out = g_string_new (NULL);
-  plat_wire_put_startup (out, &link->endpoint->info,
-                         link->team.len > 0
-                             ? link->team.data
-                             : link->endpoint->proxy->settings.node.data);
+  link_put_startup (link, out);
   link_send (link, out);
   uv_read_start ((uv_stream_t *)&link->tcp, tou_stream_alloc, link_on_read);
 }
--- a/src/session/proxy.c
+++ b/src/session/proxy.c
@@ -894,9 +894,10 @@
 {
   json_t *dump = json_pack (
       "{s:s,s:s,s:s,s:b,s:b,s:b,s:i,s:b,s:b,s:b,s:i,s:i,s:I,s:I,s:I}", "id",
-      endpoint->info.id.data, "address", endpoint->info.address.data, "gateway",
-      endpoint->gateway.data, "is_gateway", endpoint->is_gateway,
-      "direct_failed", endpoint->direct_failed_us != 0, "stands_in",
+      tou_endpoint_info_id (&endpoint->info), "address",
+      endpoint->info.address.data, "gateway", endpoint->gateway.data,
+      "is_gateway", endpoint->is_gateway, "direct_failed",
+      endpoint->direct_failed_us != 0, "stands_in",
       endpoint->standin_until_us != 0, "relays", (int)endpoint->relays.length,
       "draining", endpoint->info.draining, "gone", endpoint->removed, "silent",
       endpoint->unreachable_since_us != 0, "links", (int)endpoint->links->len,
--- a/src/session/sql.c
+++ b/src/session/sql.c
@@ -9,6 +9,48 @@
          && memcmp (slice.data, word, slice.len) == 0;
 }
 
+gboolean
+tou_slice_is_field (TouSlice slice)
+{
+  for (gsize i = 0; i < slice.len; i++)
+    if (slice.data[i] == ' ' || g_ascii_iscntrl (slice.data[i]))
+      return FALSE;
+  return slice.len > 0;
+}
+
+static GRefString *
+sql_ref_name (GRefString *name)
+{
+  return name != NULL ? g_ref_string_acquire (name) : NULL;
+}
+
+void
+tou_endpoint_info_copy (TouEndpointInfo *out, const TouEndpointInfo *other)
+{
+  *out = *other;
+  out->full_id = sql_ref_name (other->full_id);
+  out->full_group = sql_ref_name (other->full_group);
+}
+
+void
+tou_endpoint_info_clear (TouEndpointInfo *info)
+{
+  g_clear_pointer (&info->full_id, g_ref_string_release);
+  g_clear_pointer (&info->full_group, g_ref_string_release);
+}
+
+const char *
+tou_endpoint_info_id (const TouEndpointInfo *info)
+{
+  return info->full_id != NULL ? info->full_id : info->id.data;
+}
+
+const char *
+tou_endpoint_info_group (const TouEndpointInfo *info)
+{
+  return info->full_group != NULL ? info->full_group : info->group.data;
+}
+
 void
 tou_routing_destroy (TouRouting *routing)
 {
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -20,6 +20,12 @@
 /** TRUE if the bytes are those of @a word. */
 gboolean tou_slice_is (TouSlice slice, const char *word);
 
+/**
+ * TRUE if the bytes can be a field of the line protocol: there are some, and no
+ * blanks or control characters among them.
+ */
+gboolean tou_slice_is_field (TouSlice slice);
+
 typedef enum
 {
   TOU_SQL_INVALID,
@@ -190,19 +196,37 @@
 /** Makes clients need the key of a team; at first there is none. */
 void tou_routing_enable_teams (TouRouting *routing);
 
-/** Registration of a database, from its record. */
+/**
+ * Registration of a database, from its record.
+ *
+ * Databases and the platform are told the full names; everything else uses the
+ * TouName, also between nodes.
+ */
 typedef struct
 {
   TouName id;
   TouName group;
   TouName address;
   TouName failure_domain;
+  GRefString *full_id;    /**< NULL unless id is shortened */
+  GRefString *full_group; /**< NULL unless group is shortened */
   guint slots;
   gboolean draining;
   TouRole role;
   guint64 started_ms; /**< start time; differs between incarnations of an id */
 } TouEndpointInfo;
 
+/** Initialises @a out with a copy of @a other. */
+void tou_endpoint_info_copy (TouEndpointInfo *out,
+                             const TouEndpointInfo *other);
+/** Releases the full names. */
+void tou_endpoint_info_clear (TouEndpointInfo *info);
+
+/** Returns the id, of any length. */
+const char *tou_endpoint_info_id (const TouEndpointInfo *info);
+/** Returns the name of the group, of any length. */
+const char *tou_endpoint_info_group (const TouEndpointInfo *info);
+
 /** Owned name/value pairs of a session, in the order of their first SET. */
 typedef struct
 {
--- a/tests/control/kv-standin.c
+++ b/tests/control/kv-standin.c
@@ -53,6 +53,7 @@
   GPtrArray *calls;    /* of KvCall */
   GHashTable *cut;     /* names of nodes */
   GHashTable *written; /* key to guint64 */
+  json_t *promotion;   /* body of the last order, or NULL */
 };
 
 typedef struct
@@ -449,6 +450,12 @@
     kv_answer_txn (call);
   else if (strcmp (call->path, "/kv-lease") == 0)
     kv_answer_grant (call);
+  else if (strcmp (call->path, "/promote") == 0)
+    {
+      json_decref (call->kv->promotion);
+      call->kv->promotion = json_incref (call->body);
+      kv_finish (call, 200, json_object ());
+    }
   else if (strcmp (call->path, "/kv-watch") != 0)
     kv_answer_lease (call);
   else if (!kv_answer_watch (call))
@@ -517,6 +524,7 @@
   kv_state_clear (&kv->copy);
   g_hash_table_destroy (kv->cut);
   g_hash_table_destroy (kv->written);
+  json_decref (kv->promotion);
   uv_close ((uv_handle_t *)&kv->lease_timer, kv_on_destroyed);
   kv_latest_store = NULL;
 }
@@ -570,6 +578,16 @@
   return written_us != NULL ? *written_us : 0;
 }
 
+char *
+kv_last_promotion (const KvStandin *kv)
+{
+  char *text = json_dumps (kv->promotion, JSON_COMPACT | JSON_SORT_KEYS);
+  char *copy = g_strdup (text);
+
+  free (text);
+  return copy;
+}
+
 guint64
 kv_revision (const KvStandin *kv)
 {
--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -14,6 +14,7 @@
 {
   uv_tcp_t listener;
   char *id;
+  char *group; /* NULL: any */
   gboolean primary;
   TouLogPos pos;
   char *row_pad;
@@ -315,7 +316,9 @@
       out = g_string_new (NULL);
       /* STARTUP group user id */
       connection->user = g_strndup (user.data, user.len);
-      if (tou_slice_is (skip_word (skip_word (rest)), database->id))
+      if (tou_slice_is (skip_word (skip_word (rest)), database->id)
+          && (database->group == NULL
+              || tou_slice_is (first_word (rest), database->group)))
         put_ready (connection, out);
       else
         plat_wire_put_error (out, TOU_SQL_E_MOVED, database->id);
@@ -392,6 +395,20 @@
   return database;
 }
 
+void
+line_database_promote (LineDatabase *database, guint64 term)
+{
+  database->primary = TRUE;
+  database->pos.term = term;
+}
+
+void
+line_database_set_group (LineDatabase *database, const char *group)
+{
+  g_free (database->group);
+  database->group = g_strdup (group);
+}
+
 int
 line_database_port (const LineDatabase *database)
 {
@@ -431,6 +448,7 @@
 line_database_rename (LineDatabase *database, const char *id)
 {
   g_free (database->id);
+  g_free (database->group);
   database->id = g_strdup (id);
   line_database_restart (database);
 }
--- a/tests/support/line-database.h
+++ b/tests/support/line-database.h
@@ -41,6 +41,12 @@
  */
 void line_database_rename (LineDatabase *database, const char *id);
 
+/** Makes it the primary of @a term. */
+void line_database_promote (LineDatabase *database, guint64 term);
+
+/** Makes it answer MOVED to those who expect another group; NULL: to none. */
+void line_database_set_group (LineDatabase *database, const char *group);
+
 /** Closes all connections, like a database that restarts. */
 void line_database_restart (LineDatabase *database);
 
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -81,16 +81,32 @@
     tou_direct_leave (endpoint);
 }
 
+/* Proves the records of all groups that have one. */
+static void
+prove_records (TouProxy *proxy, guint64 now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, proxy->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      TouAuthority *authority = ((TouGroup *)value)->authority;
+      guint64 revision = tou_authority_record (authority)->revision;
+
+      if (revision != 0)
+        tou_authority_prove_by_store (authority, revision, now_us);
+    }
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
   Script *script = timer->data;
   guint64 now_us = tou_clock_us ();
 
-  if (script->group != NULL && !script->proofs_paused)
-    tou_authority_prove_by_store (
-        script->group->authority,
-        tou_authority_record (script->group->authority)->revision, now_us);
+  if (!script->proofs_paused)
+    prove_records (script->proxy, now_us);
   if (script->placed != NULL)
     place (script->placed);
   tou_proxy_tick (script->proxy, now_us);
@@ -219,24 +235,35 @@
   g_free (line);
 }
 
+/* Starts a database of the group that is named, else of "g", which registers.
+ */
 static void
 run_db (Script *script, char **words)
 {
   gboolean primary = strcmp (words[2], "primary") == 0;
+  const char *group = words[3] != NULL ? words[3] : "g";
   LineDatabase *database = line_database_new (&script->loop, words[1], primary);
-  TouEndpointInfo info = { 0 };
+  TouEndpointInfo info;
   TouEndpoint *endpoint;
+  TouStr record;
 
   g_hash_table_insert (script->databases, g_strdup (words[1]), database);
-  info.id = tou_name (words[1]);
-  info.group = tou_name ("g");
-  g_snprintf (info.address.data, sizeof info.address.data, "127.0.0.1:%d",
-              line_database_port (database));
-  info.address.len = (guint8)strlen (info.address.data);
-  info.slots = 2;
-  info.role = primary ? TOU_ROLE_PRIMARY : TOU_ROLE_REPLICA;
-  endpoint = tou_endpoint_create (script->proxy, &info);
-  g_hash_table_insert (script->proxy->endpoints, &endpoint->info.id, endpoint);
+  line_database_set_group (database, group);
+  tou_str_printf (&record,
+                  "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\","
+                  "\"zone\":\"a\",\"capacity\":2,\"state\":\"ready\","
+                  "\"dbRole\":\"%s\"}",
+                  group, line_database_port (database), words[2]);
+  if (plat_document_decode_endpoint (&info, words[1], &record) == TOU_OK)
+    {
+      endpoint = tou_endpoint_create (script->proxy, &info);
+      g_hash_table_insert (script->proxy->endpoints, &endpoint->info.id,
+                           endpoint);
+    }
+  else
+    g_string_append_printf (script->out, "%s\n", tou_status_message ());
+  tou_endpoint_info_clear (&info);
+  tou_str_clear (&record);
 }
 
 /* The handshake of a link takes as long as the machine is busy, and reads
@@ -528,7 +555,7 @@
 static void
 run_record (Script *script, char **words)
 {
-  TouName name = tou_name ("g");
+  TouName name = tou_name (words[5] != NULL ? words[5] : "g");
   TouGroupRecord record = { 0 };
 
   script->group = tou_group_get (script->proxy, &name);
