Start nodes whose name or zone is long

What operators saw: a node whose zone or own name has more than 79 bytes ended at its start with "setting zone is missing or too long".

Change: both are shortened for tables, messages between nodes and the store, as the zones of databases are, so a node finds the databases of its zone. Databases, the platform (Lease-Holder) and log lines get the full name of the node. Addresses keep their limit.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -212,9 +212,9 @@
     }
   TOU_COUNT (control->proxy, HANDOVERS);
   plat_store_request_promotion (
-      control->store, &endpoint->info, control->proxy->settings.node.data,
-      control->token, control->lease_until_us - now_us,
-      control_on_promotion_answer, state);
+      control->store, &endpoint->info,
+      plat_settings_node (&control->proxy->settings), control->token,
+      control->lease_until_us - now_us, control_on_promotion_answer, state);
 }
 
 static TouEndpoint *
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -550,13 +550,15 @@
 {
   const TouEndpoint *endpoint = link->endpoint;
   const TouEndpointInfo *info = &endpoint->info;
-  const char *node = endpoint->proxy->settings.node.data;
+  const TouNodeSettings *settings = &endpoint->proxy->settings;
 
   if (link->gateway_node.len > 0)
-    plat_wire_put_startup (out, info->group.data, node, info->id.data);
+    plat_wire_put_startup (out, info->group.data, settings->node.data,
+                           info->id.data);
   else
     plat_wire_put_startup (out, tou_endpoint_info_group (info),
-                           link->team.len > 0 ? link->team.data : node,
+                           link->team.len > 0 ? link->team.data
+                                              : plat_settings_node (settings),
                            tou_endpoint_info_id (info));
 }
 
--- a/src/session/sessiond.c
+++ b/src/session/sessiond.c
@@ -166,7 +166,7 @@
   mallopt (M_MMAP_THRESHOLD, SESSIOND_MMAP_BYTES);
   uv_loop_init (&daemon.loop);
   status = tou_proxy_create (&daemon.proxy, &daemon.loop, settings);
-  tou_evlog_init (daemon.proxy->settings.node.data);
+  tou_evlog_init (plat_settings_node (&daemon.proxy->settings));
   if (status == TOU_OK)
     status = plat_http_create (&daemon.http, &daemon.loop);
   if (status == TOU_OK)
--- a/tests/control/control-fleet.c
+++ b/tests/control/control-fleet.c
@@ -38,6 +38,8 @@
 fleet_init (ControlFleet *fleet)
 {
   memset (fleet, 0, sizeof *fleet);
+  fleet->zone = "a";
+  fleet->node_name = "node";
   uv_loop_init (&fleet->loop);
   fleet->kv = kv_create (&fleet->loop);
   uv_timer_init (&fleet->loop, &fleet->timer);
@@ -99,13 +101,15 @@
   FleetNode *node = &fleet->nodes[i];
   TouNodeSettings settings = { 0 };
   char *name = g_strdup_printf ("node%u", i);
+  char *node_name = g_strdup_printf ("%s%u", fleet->node_name, i);
   const char *store
       = fleet->store_address.len > 0 ? fleet->store_address.data : name;
 
   fleet_cut (fleet, i, FALSE);
   node->kv = fleet->kv;
-  settings.node = tou_name (name);
-  settings.failure_domain = tou_name ("a");
+  settings.node = tou_name (node_name);
+  settings.full_node = g_intern_string (node_name);
+  settings.failure_domain = tou_name (fleet->zone);
   settings.peers_listen = peer_address ();
   settings.config_apply_us = CONFIG_APPLY_US;
   settings.lease_min_us = LEASE_MIN_US;
@@ -123,6 +127,7 @@
                                        node->peers),
                    ==, TOU_OK);
   g_free (name);
+  g_free (node_name);
   return node;
 }
 
--- a/tests/control/control-fleet.h
+++ b/tests/control/control-fleet.h
@@ -27,6 +27,8 @@
   uv_loop_t loop;
   uv_timer_t timer;
   KvStandin *kv;
+  const char *zone;      /**< of all nodes */
+  const char *node_name; /**< name of a node, without its number */
   TouName store_address; /**< empty: each node calls kv under its own name */
   guint n_nodes;
   FleetNode nodes[FLEET_MAX_NODES];
--- a/tests/control/kv-standin.c
+++ b/tests/control/kv-standin.c
@@ -21,6 +21,8 @@
   guint64 lease;
 } KvItem;
 
+#define KV_HOLDER_HEADER "Lease-Holder: "
+
 typedef struct
 {
   char *key;
@@ -53,7 +55,7 @@
   GPtrArray *calls;    /* of KvCall */
   GHashTable *cut;     /* names of nodes */
   GHashTable *written; /* key to guint64 */
-  json_t *promotion;   /* body of the last order, or NULL */
+  char *promotion;     /* the last order, or NULL */
 };
 
 typedef struct
@@ -67,6 +69,7 @@
   char *path;
   GHashTable *query;
   json_t *body;
+  char *holder;     /* of the lease, in an order */
   gboolean waiting; /* a watch without events */
 } KvCall;
 
@@ -147,6 +150,7 @@
 
   g_free (call->method);
   g_free (call->node);
+  g_free (call->holder);
   g_free (call->path);
   g_hash_table_destroy (call->query);
   json_decref (call->body);
@@ -437,6 +441,16 @@
                         (json_int_t)call->kv->state.revision));
 }
 
+static void
+kv_take_promotion (KvCall *call)
+{
+  char *body = json_dumps (call->body, JSON_COMPACT | JSON_SORT_KEYS);
+
+  g_free (call->kv->promotion);
+  call->kv->promotion = g_strdup_printf ("%s by %s", body, call->holder);
+  free (body);
+}
+
 static void
 kv_on_call (uv_timer_t *timer)
 {
@@ -452,8 +466,7 @@
     kv_answer_grant (call);
   else if (strcmp (call->path, "/promote") == 0)
     {
-      json_decref (call->kv->promotion);
-      call->kv->promotion = json_incref (call->body);
+      kv_take_promotion (call);
       kv_finish (call, 200, json_object ());
     }
   else if (strcmp (call->path, "/kv-watch") != 0)
@@ -524,7 +537,7 @@
   kv_state_clear (&kv->copy);
   g_hash_table_destroy (kv->cut);
   g_hash_table_destroy (kv->written);
-  json_decref (kv->promotion);
+  g_free (kv->promotion);
   uv_close ((uv_handle_t *)&kv->lease_timer, kv_on_destroyed);
   kv_latest_store = NULL;
 }
@@ -581,11 +594,7 @@
 char *
 kv_last_promotion (const KvStandin *kv)
 {
-  char *text = json_dumps (kv->promotion, JSON_COMPACT | JSON_SORT_KEYS);
-  char *copy = g_strdup (text);
-
-  free (text);
-  return copy;
+  return g_strdup (kv->promotion);
 }
 
 guint64
@@ -686,6 +695,10 @@
       G_URI_PARAMS_NONE, NULL);
   call->body
       = request->body != NULL ? json_loads (request->body, 0, NULL) : NULL;
+  for (const char *const *header = request->headers;
+       header != NULL && *header != NULL; header++)
+    if (g_str_has_prefix (*header, KV_HOLDER_HEADER))
+      call->holder = g_strdup (*header + strlen (KV_HOLDER_HEADER));
   g_uri_unref (uri);
   uv_timer_init (kv->loop, &call->timer);
   call->timer.data = call;
--- a/tests/control/kv-standin.h
+++ b/tests/control/kv-standin.h
@@ -39,7 +39,10 @@
 /** Writes a key without a meaning until the store has @a revision. */
 void kv_pass_revision (KvStandin *kv, guint64 revision);
 
-/** Returns the last promotion order as JSON, or NULL; free with g_free(). */
+/**
+ * Returns the last promotion order, or NULL: the body as JSON and the holder of
+ * the lease, in one line; free with g_free().
+ */
 char *kv_last_promotion (const KvStandin *kv);
 
 /** Calls of a cut-off node get no response. */
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -300,7 +300,7 @@
   else
     g_string_append_printf (
         script->out, "%s in %s, peers %s, metrics %s, %u descriptors%s\n",
-        settings.node.data, settings.failure_domain.data,
+        plat_settings_node (&settings), settings.failure_domain.data,
         settings.peers_listen.data, settings.metrics_listen.data,
         settings.max_descriptors, settings.pace_enabled ? ", paced" : "");
   g_free (text);
--- a/tests/test-change.c
+++ b/tests/test-change.c
@@ -16,7 +16,10 @@
 #define TICK_MS 10
 #define WAIT_US (20 * TOU_US_PER_S)
 #define MAX_DATABASES 10
+#define N_NODES 3
 #define LONG_SERVICE_LEN 199
+#define LONG_NODE_LEN 120
+#define LONG_ZONE_LEN 120
 /* With its prefix the longest key of the store. */
 #define LONG_ID_LEN 192
 
@@ -69,8 +72,9 @@
   g_free (record);
 }
 
+/* Starts nodes with these names and this zone. */
 static void
-setup (Fixture *f, char *service)
+setup (Fixture *f, char *service, const char *node_name, const char *zone)
 {
   char *config = g_strdup_printf (
       "{\"version\":1,\"routes\":[],\"services\":[{\"name\":\"%s\","
@@ -84,7 +88,11 @@
   f->timer.data = f;
   uv_timer_start (&f->timer, on_timer, 0, TICK_MS);
   kv_put (f->fleet.kv, "op/config", config);
-  fleet_add (&f->fleet);
+  f->fleet.node_name = node_name;
+  f->fleet.zone = zone;
+  for (guint i = 0; i < N_NODES; i++)
+    fleet_add (&f->fleet);
+  assert_true (fleet_wait (&f->fleet, fleet_has_panel, N_NODES));
   g_free (config);
 }
 
@@ -161,14 +169,17 @@
 static void
 check_change (Fixture *f, guint next)
 {
-  char *expected = g_strdup_printf ("{\"id\":\"%s\",\"service\":\"%s\"}",
-                                    f->ids[next], f->service);
+  char *expected
+      = g_strdup_printf ("{\"id\":\"%s\",\"service\":\"%s\"} by %s",
+                         f->ids[next], f->service, f->fleet.node_name);
   char *order;
 
   wait_recorded (f, f->ids[0]);
   lose_primary (f);
   order = wait_order (f);
   assert_non_null (order);
+  /* Any node may lead; its number is left out. */
+  order[strlen (order) - 1] = '\0';
   assert_string_equal (order, expected);
   line_database_promote (f->databases[next], 2);
   wait_recorded (f, f->ids[next]);
@@ -181,15 +192,19 @@
 static void
 test_change_with_long_names (void **state)
 {
+  char *node_name = long_text (LONG_NODE_LEN, '-');
+  char *zone = long_text (LONG_ZONE_LEN, 'a');
   Fixture f;
 
   (void)state;
-  setup (&f, long_text (LONG_SERVICE_LEN, 'x'));
+  setup (&f, long_text (LONG_SERVICE_LEN, 'x'), node_name, zone);
   add_database (&f, long_text (LONG_ID_LEN, 'a'), TRUE, 5);
   add_database (&f, long_text (LONG_ID_LEN, 'b'), FALSE, 4);
   add_database (&f, long_text (LONG_ID_LEN, 'c'), FALSE, 5);
   check_change (&f, 2);
   teardown (&f);
+  g_free (node_name);
+  g_free (zone);
 }
 
 int
