Serve teams whose name or key is long

What operators saw: a version of the configuration with a team of more than 79 bytes, or with an API key of more than 255, was refused as a whole; so was one whose team or key has characters beyond ASCII, as one "with blanks".

Change: teams are kept in their shortened form, keys are looked up by it, and databases are told the full name of the team, which the configuration has. A gateway that does not know the full name, because its configuration is older, refuses the statement as not run. Blanks and control characters are still refused.

--- a/src/access/access.c
+++ b/src/access/access.c
@@ -21,22 +21,42 @@
   return owner != NULL || route->anonymous ? TOU_OK : TOU_E_UNAUTHORIZED;
 }
 
-/* Names are fields of the line protocol, which separates them by blanks. */
-static gboolean
-access_is_field (const char *text, gsize len)
+char *
+tou_access_new_key (TouSlice text)
 {
-  for (gsize i = 0; i < len; i++)
-    if (!g_ascii_isgraph (text[i]))
-      return FALSE;
-  return len > 0;
+  TouName key;
+
+  if (!tou_slice_is_field (text))
+    return NULL;
+  tou_name_shorten (&key, text.data, text.len);
+  return g_strndup (key.data, key.len);
+}
+
+static const char *
+access_full_name (const TouTeam *team)
+{
+  return team->full_name != NULL ? team->full_name : team->name.data;
+}
+
+const char *
+tou_access_full_name (const TouRouting *routing, const TouName *name)
+{
+  const TouTeam *team = routing != NULL && routing->teams != NULL
+                            ? g_hash_table_lookup (routing->teams, name)
+                            : NULL;
+
+  if (team != NULL)
+    return access_full_name (team);
+  return tou_name_is_shortened (name) ? NULL : name->data;
 }
 
 int
 tou_access_add_team (TouRouting *routing, const TouTeam *team)
 {
+  const char *name = access_full_name (team);
   TouTeam *copy;
 
-  if (!access_is_field (team->name.data, team->name.len))
+  if (!tou_slice_is_field ((TouSlice){ name, strlen (name) }))
     return tou_status_set (TOU_E_CONFIG_INVALID,
                            "a team's name is empty or contains blanks");
   if (!isfinite (team->rate_per_s) || team->rate_per_s < 0
@@ -49,6 +69,8 @@
     return tou_status_set (TOU_E_CONFIG_INVALID, "team %s is defined twice",
                            team->name.data);
   copy = g_memdup2 (team, sizeof *team);
+  if (copy->full_name != NULL)
+    g_ref_string_acquire (copy->full_name);
   g_hash_table_insert (routing->teams, &copy->name, copy);
   return TOU_OK;
 }
@@ -58,15 +80,16 @@
                     gsize len)
 {
   TouTeam *team = g_hash_table_lookup (routing->teams, name);
-  char *copy;
+  char *copy = tou_access_new_key ((TouSlice){ key, len });
 
   /* The message must not contain the key. */
-  if (team == NULL || len > TOU_KEY_MAX || !access_is_field (key, len))
-    return tou_status_set (TOU_E_CONFIG_INVALID,
-                           "team %s has a key that is empty, longer than %d "
-                           "bytes or contains blanks",
-                           name->data, TOU_KEY_MAX);
-  copy = g_strndup (key, len);
+  if (team == NULL || copy == NULL)
+    {
+      g_free (copy);
+      return tou_status_set (
+          TOU_E_CONFIG_INVALID,
+          "team %s has a key that is empty or contains blanks", name->data);
+    }
   if (g_hash_table_contains (routing->keys, copy))
     {
       g_free (copy);
--- a/src/access/access.h
+++ b/src/access/access.h
@@ -13,13 +13,10 @@
 
 G_BEGIN_DECLS
 
-/** Maximum length of an API key, in bytes. */
-#define TOU_KEY_MAX 255
-
 /**
  * Identifies the team that a session's operations belong to.
  *
- * @param key the session's API key; NULL: none
+ * @param key the session's API key, from tou_access_new_key(); NULL: none
  * @param team set to the team's name; empty if there is none, which is allowed
  * on routes without authentication and in configurations without teams
  * @return TOU_E_UNAUTHORIZED if the route requires a key of a team
@@ -27,6 +24,22 @@
 int tou_access_check (const TouRouting *routing, const TouRoute *route,
                       const char *key, TouName *team);
 
+/**
+ * Returns an API key as it is looked up: a long one is shortened. Free it with
+ * g_free().
+ *
+ * @return NULL if @a text cannot be a key, because it is empty or has blanks
+ */
+char *tou_access_new_key (TouSlice text);
+
+/**
+ * Returns the full name of a team, which databases are told.
+ *
+ * @return NULL if @a name is shortened, and no team in @a routing has it
+ */
+const char *tou_access_full_name (const TouRouting *routing,
+                                  const TouName *name);
+
 /**
  * Adds a team to @a routing, which takes a copy.
  *
@@ -37,7 +50,7 @@
 /**
  * Adds a key of the team @a name, which must have been added.
  *
- * @return TOU_E_CONFIG_INVALID if the key is empty, too long or in use
+ * @return TOU_E_CONFIG_INVALID if the key is empty, has blanks or is in use
  */
 int tou_access_add_key (TouRouting *routing, const TouName *name,
                         const char *key, gsize len);
--- a/src/session/client.c
+++ b/src/session/client.c
@@ -931,9 +931,7 @@
     {
       tou_name_shorten (&client->database, message->database.data,
                         message->database.len);
-      /* A longer one is no team's key. */
-      if (message->user.len > 0 && message->user.len <= TOU_KEY_MAX)
-        client->key = g_strndup (message->user.data, message->user.len);
+      client->key = tou_access_new_key (message->user);
       if (client->proxy->routing != NULL)
         client_admit (client);
       else
--- a/src/session/link-private.h
+++ b/src/session/link-private.h
@@ -40,9 +40,10 @@
   guint64 since_us;      /* when it was opened, became idle or busy */
   guint64 received_us;   /* when data was last received */
   TouTask *task;
-  TouPin *pin;          /* the link's reservation, or NULL */
-  TouName gateway_node; /* gateway of the link; empty: direct connection */
-  TouName team;         /* of a direct connection; empty: none */
+  TouPin *pin;           /* the link's reservation, or NULL */
+  TouName gateway_node;  /* gateway of the link; empty: direct connection */
+  TouName team;          /* of a direct connection; empty: none */
+  GRefString *full_team; /* full name of the team; NULL: there is none */
   TouSqlValues values;
   GHashTable *prepared; /* set of link_name */
   gsize prepared_bytes; /* of their shapes */
--- a/src/session/link.c
+++ b/src/session/link.c
@@ -6,6 +6,8 @@
 #include "stream.h"
 #include "values.h"
 
+#include "access.h"
+
 #include "wire.h"
 
 #include <string.h>
@@ -38,6 +40,7 @@
   TouLink *link = handle->data;
 
   tou_values_clear (&link->values);
+  g_clear_pointer (&link->full_team, g_ref_string_release);
   g_hash_table_destroy (link->prepared);
   g_string_free (link->in, TRUE);
   g_string_free (link->lines, TRUE);
@@ -557,8 +560,9 @@
                            info->id.data);
   else
     plat_wire_put_startup (out, tou_endpoint_info_group (info),
-                           link->team.len > 0 ? link->team.data
-                                              : plat_settings_node (settings),
+                           link->full_team != NULL
+                               ? link->full_team
+                               : plat_settings_node (settings),
                            tou_endpoint_info_id (info));
 }
 
@@ -598,6 +602,7 @@
            guint64 now_us)
 {
   struct sockaddr_in address = endpoint->gateway_address;
+  const char *full_team = NULL;
   TouLink *link;
 
   if (gateway->len == 0
@@ -609,13 +614,29 @@
       endpoint->open_after_us = now_us + LINK_REJECTED_PAUSE_US;
       return;
     }
+  if (team != NULL && gateway->len == 0)
+    {
+      full_team = tou_access_full_name (endpoint->proxy->routing, team);
+      /* A new configuration has withdrawn the team. */
+      if (full_team == NULL)
+        {
+          tou_evlog (TOU_EVLOG_FAILURE, "team_unknown",
+                     "\"endpoint\":\"%s\",\"team\":\"%s\"",
+                     endpoint->info.id.data, team->data);
+          endpoint->open_after_us = now_us + LINK_PAUSE_US;
+          return;
+        }
+    }
   link = g_new0 (TouLink, 1);
   link->endpoint = endpoint;
   link->since_us = now_us;
   link->initial_pos = endpoint->newest_pos;
   link->gateway_node = *gateway;
-  if (team != NULL && gateway->len == 0)
-    link->team = *team;
+  if (full_team != NULL)
+    {
+      link->team = *team;
+      link->full_team = g_ref_string_new_intern (full_team);
+    }
   tou_values_init (&link->values);
   link->prepared
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/session/relay.c
+++ b/src/session/relay.c
@@ -9,6 +9,8 @@
 #include "unreachable.h"
 #include "values.h"
 
+#include "access.h"
+
 #include "wire.h"
 
 #include <stdio.h>
@@ -486,6 +488,13 @@
       relay_refuse (relay, RELAY_STOPPING_REASON);
       return;
     }
+  /* No connection can be opened for it; this node may have an older
+     configuration than the other one. */
+  if (tou_access_full_name (relay->proxy->routing, &relay->team) == NULL)
+    {
+      relay_refuse (relay, "the team is not known at this node");
+      return;
+    }
   relay_enqueue (relay);
   tou_dispatch_group (relay->endpoint->group);
 }
--- a/src/session/sql.c
+++ b/src/session/sql.c
@@ -66,11 +66,20 @@
   g_free (routing);
 }
 
+static void
+sql_team_free (gpointer data)
+{
+  TouTeam *team = data;
+
+  g_clear_pointer (&team->full_name, g_ref_string_release);
+  g_free (team);
+}
+
 void
 tou_routing_enable_teams (TouRouting *routing)
 {
   routing->teams = g_hash_table_new_full (tou_name_hash, tou_name_equal_func,
-                                          NULL, g_free);
+                                          NULL, sql_team_free);
   routing->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
--- a/src/session/sql.h
+++ b/src/session/sql.h
@@ -162,6 +162,7 @@
 typedef struct
 {
   TouName name;
+  GRefString *full_name; /**< NULL unless name is shortened */
   double rate_per_s; /**< operations per second, on all nodes; 0: no limit */
   double burst;      /**< operations beyond the rate */
 } TouTeam;
@@ -181,7 +182,7 @@
   GHashTable *routes; /**< database name to TouRoute */
   GHashTable *groups; /**< group name to TouGroupLimits */
   GHashTable *teams;  /**< name to TouTeam; NULL: clients need no key */
-  GHashTable *keys;   /**< API key to TouTeam, borrowed from teams */
+  GHashTable *keys;   /**< API key to TouTeam, borrowed; see access.h */
   guint64 txn_idle_us;
 } TouRouting;
 
