Report what a configuration loses, or refuse it

What callers and operators saw: entries and numbers that nodes could not use had no effect, without a log line or a counter.

Cause: the decoder skipped routes and groups, and took defaults for numbers, in silence. Some defaults allow more than is written: a bound of staleness that could not be read became none, synchronous replicas and connection limits that could not be read, or that were 2^32, became 0. A version of 2^53 + 1 was taken as 2^53, one above as 0, so a node that had an earlier one ignored it.

Nodes log it once a version (config_ignored) and count it (config_ignored_total).

--- a/fuzz/fuzz-wire.c
+++ b/fuzz/fuzz-wire.c
@@ -62,7 +62,7 @@
       decode_line (line);
     }
   plat_document_decode_endpoint (&info, "i-1", &value);
-  if (plat_document_decode_routing (&routing, &value) == TOU_OK)
+  if (plat_document_decode_routing (&routing, NULL, &value) == TOU_OK)
     tou_routing_destroy (routing);
   plat_settings_parse (&settings, text);
   g_free (text);
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -59,6 +59,10 @@
    are older by this margin, which covers round trips between regions, ticks and
    a congested network. */
 #define CONTROL_PROVE_MARGIN_US (200 * TOU_US_PER_MS)
+/* Maximum number of log lines about one version of the configuration. */
+#define CONTROL_MAX_IGNORED_LINES 20
+/* Buffer for a message in a log line. */
+#define CONTROL_TEXT_MAX 256
 
 char *
 tou_record_encode (const TouGroupRecord *record)
@@ -99,6 +103,12 @@
   return status;
 }
 
+static const char *
+control_printable (char *out, gsize size, const char *text)
+{
+  return tou_evlog_sanitize (out, size, (TouSlice){ text, strlen (text) });
+}
+
 /* Sets @a out to the name behind @a prefix in a key that nodes have written. It
    is the name of a TouName, so a longer one has another writer. */
 static gboolean
@@ -225,7 +235,6 @@
                          const PlatStoreItem *item)
 {
   const char *reason = tou_status_message ();
-  TouSlice slice = { id->data, id->len };
   char text[TOU_NAME_MAX + 1];
 
   TOU_COUNT (control->proxy, MALFORMED);
@@ -236,7 +245,7 @@
   tou_evlog (TOU_EVLOG_STATE, "endpoint_unreadable",
              "\"endpoint\":\"%s\",\"revision\":%" G_GUINT64_FORMAT
              ",\"bytes\":%zu,\"error\":\"%s\"",
-             tou_evlog_sanitize (text, sizeof text, slice), item->revision,
+             control_printable (text, sizeof text, id->data), item->revision,
              item->value.len, reason);
 }
 
@@ -290,21 +299,60 @@
   tou_endpoint_info_clear (&info);
 }
 
+/* Logs and counts what is not used of a new version. */
+static void
+control_report_ignored (TouControl *control, guint64 version,
+                        const GPtrArray *problems)
+{
+  char name[TOU_NAME_MAX + 1];
+  char text[CONTROL_TEXT_MAX];
+
+  control->proxy->counters[TOU_COUNT_CONFIG_IGNORED] += problems->len;
+  for (guint i = 0; i < MIN (problems->len, CONTROL_MAX_IGNORED_LINES); i++)
+    {
+      const PlatProblem *problem = g_ptr_array_index (problems, i);
+      TouName entry = tou_name (problem->name != NULL ? problem->name : "");
+
+      tou_evlog (TOU_EVLOG_STATE, "config_ignored",
+                 "\"version\":%" G_GUINT64_FORMAT
+                 ",\"type\":\"%s\",\"name\":\"%s\",\"problem\":\"%s\"",
+                 version, problem->type,
+                 control_printable (name, sizeof name, entry.data),
+                 control_printable (text, sizeof text, problem->text));
+    }
+  if (problems->len > CONTROL_MAX_IGNORED_LINES)
+    tou_evlog (TOU_EVLOG_STATE, "config_ignored_more",
+               "\"version\":%" G_GUINT64_FORMAT ",\"problems\":%u", version,
+               problems->len - CONTROL_MAX_IGNORED_LINES);
+}
+
 static void
 control_on_config (TouControl *control, const PlatStoreItem *item)
 {
+  char text[CONTROL_TEXT_MAX];
+  GPtrArray *problems;
   TouRouting *routing;
 
   if (item->deleted)
     return;
-  if (plat_document_decode_routing (&routing, &item->value) != TOU_OK)
+  problems = g_ptr_array_new_with_free_func (plat_problem_free);
+  if (plat_document_decode_routing (&routing, problems, &item->value) == TOU_OK)
     {
+      /* A list of the store repeats the version in force. */
+      if (control->proxy->routing == NULL
+          || routing->version > control->proxy->routing->version)
+        control_report_ignored (control, routing->version, problems);
+      tou_proxy_set_routing (control->proxy, routing);
+    }
+  else
+    {
+      TOU_COUNT (control->proxy, CONFIGS_REFUSED);
       tou_evlog (TOU_EVLOG_STATE, "config_unreadable",
                  "\"revision\":%" G_GUINT64_FORMAT ",\"error\":\"%s\"",
-                 item->revision, tou_status_message ());
-      return;
+                 item->revision,
+                 control_printable (text, sizeof text, tou_status_message ()));
     }
-  tou_proxy_set_routing (control->proxy, routing);
+  g_ptr_array_unref (problems);
 }
 
 static void
--- a/src/session/proxy.h
+++ b/src/session/proxy.h
@@ -77,6 +77,9 @@
   X (STAND_INS, "stand_ins_total", "times this node stood in as a gateway")    \
   X (BEGINS, "link_begins_total", "transactions begun on links")               \
   X (MALFORMED, "malformed_total", "messages that could not be read")          \
+  X (CONFIGS_REFUSED, "configs_refused_total", "configurations not adopted")   \
+  X (CONFIG_IGNORED, "config_ignored_total",                                   \
+     "parts of configurations not used as written")                            \
   X (STORE_CALLS, "store_calls_total", "calls of the platform's store")        \
   X (PROOF_READS, "proof_reads_total", "reads of the records for a proof")     \
   X (STORE_FAILED, "store_failed_total", "store calls refused or lost")        \
--- a/tests/support/proxy-script.c
+++ b/tests/support/proxy-script.c
@@ -515,7 +515,7 @@
 
       if (proxies[i] == NULL)
         continue;
-      if (plat_document_decode_routing (&routing, &value) == TOU_OK)
+      if (plat_document_decode_routing (&routing, NULL, &value) == TOU_OK)
         tou_proxy_set_routing (proxies[i], routing);
       else
         g_string_append_printf (script->out, "%s\n", tou_status_message ());
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -236,11 +236,23 @@
 run_config (Script *script, const Command *command)
 {
   TouStr value = { (char *)command->rest, strlen (command->rest) };
+  GPtrArray *problems = g_ptr_array_new_with_free_func (plat_problem_free);
   TouRouting *routing;
   GHashTableIter iter;
   gpointer item;
+  int status;
 
-  if (plat_document_decode_routing (&routing, &value) != TOU_OK)
+  status = plat_document_decode_routing (&routing, problems, &value);
+  for (guint i = 0; i < problems->len; i++)
+    {
+      const PlatProblem *problem = g_ptr_array_index (problems, i);
+
+      g_string_append_printf (script->out, "%s %s: %s\n", problem->type,
+                              problem->name != NULL ? problem->name : "itself",
+                              problem->text);
+    }
+  g_ptr_array_unref (problems);
+  if (status != TOU_OK)
     {
       g_string_append_printf (script->out, "%s\n", tou_status_message ());
       return;
@@ -264,9 +276,13 @@
     }
   g_hash_table_iter_init (&iter, routing->groups);
   while (g_hash_table_iter_next (&iter, NULL, &item))
-    g_string_append_printf (script->out, "group %s: connections %u\n",
-                            ((const TouGroupLimits *)item)->name.data,
-                            ((const TouGroupLimits *)item)->connection_limit);
+    {
+      const TouGroupLimits *limits = item;
+
+      g_string_append_printf (
+          script->out, "group %s: connections %u synchronous replicas %u\n",
+          limits->name.data, limits->connection_limit, limits->sync_replicas);
+    }
   if (routing->teams != NULL)
     print_teams (script, routing);
   tou_routing_destroy (routing);
--- a/tests/test-entries.c
+++ b/tests/test-entries.c
@@ -51,11 +51,43 @@
   g_free (nested);
 }
 
+/* Parts of a version that are not used must be counted, but once a version: a
+ * node reads the version in force again with each list of the store. */
+static void
+test_ignored_parts_are_counted_once (void **state)
+{
+  static const char config[]
+      = "{\"version\":2,\"routes\":[{\"name\":\"r\",\"host\":\"a b\","
+        "\"type\":\"primary\",\"service\":\"g\"}],\"services\":[],"
+        "\"limits\":{\"txIdleMs\":\"x\"}}";
+  static const char refused[] = "{\"version\":3,\"routes\":[],\"services\":"
+                                "[{\"name\":\"g\",\"syncReplicas\":\"x\"}]}";
+  ControlFleet fleet;
+  const guint64 *counters;
+
+  (void)state;
+  fleet_init (&fleet);
+  fleet_configure (&fleet, 1);
+  counters = fleet_add (&fleet)->proxy->counters;
+  assert_true (fleet_wait (&fleet, fleet_has_version, 1));
+  assert_int_equal (counters[TOU_COUNT_CONFIG_IGNORED], 0);
+  kv_put (fleet.kv, "op/config", config);
+  assert_true (fleet_wait (&fleet, fleet_has_version, 2));
+  kv_put (fleet.kv, "op/config", config);
+  kv_put (fleet.kv, "op/config", refused);
+  fleet_run (&fleet, TOU_US_PER_S);
+  assert_true (fleet_has_version (&fleet.nodes[0], 2));
+  assert_int_equal (counters[TOU_COUNT_CONFIG_IGNORED], 2);
+  assert_int_equal (counters[TOU_COUNT_CONFIGS_REFUSED], 1);
+  fleet_clear (&fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_entries_of_another_writer),
+    cmocka_unit_test (test_ignored_parts_are_counted_once),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
