Let a change of primary see all databases of a group

What callers would see: acknowledged commits lost in a change of primary on a service of more than seven databases. Found by reading, as one more bound of our own that was met in silence.

Cause: control_fill_view() and logs_collect_statuses() stopped at TOU_GROUP_MAX_ENDPOINTS, a limit of the other daemon's configuration. The replica with the highest position was not looked at if it was the eighth or later.

Change: both take all registered databases.

--- a/src/session/control-leader.c
+++ b/src/session/control-leader.c
@@ -58,8 +58,7 @@
 }
 
 static void
-control_fill_view (const ControlGroup *state, TouHandoverView *out,
-                   guint64 now_us)
+control_fill_view (ControlGroup *state, TouHandoverView *out, guint64 now_us)
 {
   TouControl *control = state->control;
   TouGroup *group = state->group;
@@ -106,17 +105,22 @@
         || (control->removed_us != 0
             && now_us < control->removed_us + TOU_AUTHORITY_REMOVE_US);
   out->majority_has_record = control_majority_has_record (state);
-  for (guint i = 0;
-       i < group->endpoints->len && out->n_endpoints < TOU_GROUP_MAX_ENDPOINTS;
-       i++)
+  g_array_set_size (state->endpoints, 0);
+  for (guint i = 0; i < group->endpoints->len; i++)
     {
       const TouEndpoint *endpoint = g_ptr_array_index (group->endpoints, i);
+      TouHandoverEndpoint entry;
 
       if (tou_log_pos_compare (endpoint->newest_pos, out->newest) > 0)
         out->newest = endpoint->newest_pos;
-      if (!endpoint->removed)
-        control_fill_endpoint (&out->endpoints[out->n_endpoints++], endpoint);
+      if (endpoint->removed)
+        continue;
+      control_fill_endpoint (&entry, endpoint);
+      g_array_append_val (state->endpoints, entry);
     }
+  out->n_endpoints = state->endpoints->len;
+  out->endpoints
+      = (const TouHandoverEndpoint *)(gpointer)state->endpoints->data;
   tou_control_fill_logs (state, out, now_us);
 }
 
@@ -336,6 +340,7 @@
   state = g_new0 (ControlGroup, 1);
   state->control = control;
   state->group = group;
+  state->endpoints = g_array_new (FALSE, FALSE, sizeof (TouHandoverEndpoint));
   tou_handover_create (&state->handover);
   tou_control_init_logs (&state->logs);
   g_hash_table_insert (control->groups, &group->name, state);
--- a/src/session/control-logs.c
+++ b/src/session/control-logs.c
@@ -180,26 +180,28 @@
     }
 }
 
-static guint
-logs_collect_statuses (const ControlGroup *state, TouLogStatus *out)
+/* Returns the statuses of the registered databases, of TouLogStatus. */
+static GArray *
+logs_collect_statuses (const ControlGroup *state)
 {
   const TouGroupRecord *record = tou_authority_record (state->group->authority);
   const GPtrArray *endpoints = state->group->endpoints;
-  guint n = 0;
+  GArray *statuses = g_array_new (FALSE, FALSE, sizeof (TouLogStatus));
 
-  for (guint i = 0; i < endpoints->len && n < TOU_GROUP_MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < endpoints->len; i++)
     {
       const TouEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      TouLogStatus status;
 
       if (endpoint->missing_since_us != 0)
         continue;
-      out[n].status_us = endpoint->status_us;
-      out[n].received = endpoint->status.received;
-      out[n].primary = endpoint->status.role == TOU_ROLE_PRIMARY
+      status.status_us = endpoint->status_us;
+      status.received = endpoint->status.received;
+      status.primary = endpoint->status.role == TOU_ROLE_PRIMARY
                        && endpoint->status.term == record->term;
-      n++;
+      g_array_append_val (statuses, status);
     }
-  return n;
+  return statuses;
 }
 
 /* Updates which logs are superseded and which are checked. A check of fewer
@@ -237,8 +239,8 @@
 logs_run_check (ControlGroup *state, guint64 now_us)
 {
   ControlLogs *logs = &state->logs;
-  TouLogStatus statuses[TOU_GROUP_MAX_ENDPOINTS];
-  guint n_statuses;
+  GArray *statuses;
+  gboolean superseded;
 
   logs_classify (logs, state, now_us);
   if (tou_log_set_size (logs->checked) == 0)
@@ -249,9 +251,12 @@
       tou_log_check_start (&logs->check, now_us);
       return FALSE;
     }
-  n_statuses = logs_collect_statuses (state, statuses);
-  if (!tou_log_check_report (&logs->check, statuses, n_statuses,
-                             state->group->limits.sync_replicas))
+  statuses = logs_collect_statuses (state);
+  superseded = tou_log_check_report (
+      &logs->check, (const TouLogStatus *)(gpointer)statuses->data,
+      statuses->len, state->group->limits.sync_replicas);
+  g_array_unref (statuses);
+  if (!superseded)
     return TRUE;
   tou_log_set_add_all (logs->superseded, logs->checked);
   tou_log_set_clear (logs->checked);
--- a/src/session/control-private.h
+++ b/src/session/control-private.h
@@ -42,6 +42,7 @@
   guint64 step_down_us;
   TouGroupRecord stored; /* latest one read from or written to the store */
   gboolean restoring;    /* a record that the store has lost is being written */
+  GArray *endpoints;     /* of TouHandoverEndpoint: those of the last view */
   ControlLogs logs;
 } ControlGroup;
 
--- a/src/session/control.c
+++ b/src/session/control.c
@@ -1112,6 +1112,7 @@
   ControlGroup *state = data;
 
   tou_handover_destroy (state->handover);
+  g_array_unref (state->endpoints);
   tou_control_clear_logs (&state->logs);
   g_free (state);
 }
--- a/src/session/handover.h
+++ b/src/session/handover.h
@@ -67,7 +67,7 @@
   guint n_ended;  /**< those of n_absent that will not return */
   gboolean primary_ended; /**< the primary's log will not return */
   guint n_endpoints;
-  TouHandoverEndpoint endpoints[TOU_GROUP_MAX_ENDPOINTS];
+  const TouHandoverEndpoint *endpoints; /**< borrowed */
 } TouHandoverView;
 
 typedef enum
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -31,7 +31,8 @@
   guint slots;
   TouHandover *handover;
   TouHandoverView view;
-  GArray *nodes; /* of TouGatewayNode */
+  GArray *endpoints; /* of TouHandoverEndpoint: those of the view */
+  GArray *nodes;     /* of TouGatewayNode */
   TouPanel panel;
   TouFollow follow;
   GArray *watches; /* of TouWatch */
@@ -865,8 +866,11 @@
   while (i < view->n_endpoints
          && !tou_name_equal (&view->endpoints[i].id, &endpoint.id))
     i++;
-  view->endpoints[i] = endpoint;
-  view->n_endpoints = MAX (view->n_endpoints, i + 1);
+  if (i == script->endpoints->len)
+    g_array_set_size (script->endpoints, i + 1);
+  g_array_index (script->endpoints, TouHandoverEndpoint, i) = endpoint;
+  view->endpoints = (TouHandoverEndpoint *)(gpointer)script->endpoints->data;
+  view->n_endpoints = script->endpoints->len;
 }
 
 static gboolean
@@ -970,6 +974,7 @@
   script.out = g_string_new (NULL);
   tou_authority_create (&script.authority);
   tou_freshness_create (&script.freshness);
+  script.endpoints = g_array_new (FALSE, TRUE, sizeof (TouHandoverEndpoint));
   script.nodes = g_array_new (FALSE, FALSE, sizeof (TouGatewayNode));
   script.watches = g_array_new (FALSE, FALSE, sizeof (TouWatch));
   tou_follow_init (&script.follow);
@@ -984,6 +989,7 @@
       run_line (&script, *line);
   tou_authority_destroy (script.authority);
   tou_freshness_destroy (script.freshness);
+  g_array_unref (script.endpoints);
   g_array_unref (script.nodes);
   g_array_unref (script.watches);
   tou_handover_destroy (script.handover);
--- a/tests/test-change.c
+++ b/tests/test-change.c
@@ -207,11 +207,29 @@
   g_free (zone);
 }
 
+/* If the leader saw a part of a large group only, it would promote a database
+ * that lacks acknowledged commits, because the one that has them is not in it.
+ */
+static void
+test_change_in_large_group (void **state)
+{
+  Fixture f;
+
+  (void)state;
+  setup (&f, g_strdup ("g"), "node", "a");
+  add_database (&f, g_strdup ("db0"), TRUE, 50);
+  for (guint i = 1; i < MAX_DATABASES; i++)
+    add_database (&f, g_strdup_printf ("db%u", i), FALSE, 10 + i);
+  check_change (&f, MAX_DATABASES - 1);
+  teardown (&f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_change_with_long_names),
+    cmocka_unit_test (test_change_in_large_group),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
