Send heartbeats about many groups in several messages

What callers would see: with many services, a node that lacks their records, as after a start, hears nothing from the others and is taken for silent.

Cause: a heartbeat was one datagram with all groups that the receiver may lack. Above 65,507 bytes it is not sent, and the result was ignored. Names of 79 bytes, which long ones are shortened to, bring this to some 300 services.

Change: a heartbeat about more than 128 groups consists of several messages with the same send time, in a changing order. Reports of a node are cleared with the first message that arrives of a heartbeat. Up to 128 groups the messages are the same as before.

--- a/src/session/peers.c
+++ b/src/session/peers.c
@@ -40,6 +40,10 @@
 /* Maximum number of silent nodes named in a heartbeat, which has to fit into a
    datagram; the others are named once these are removed. */
 #define PEERS_MAX_SILENT 100
+/* Maximum number of groups in one message: their names, records and positions
+   take up to 400 bytes each, and have to fit into a datagram. A heartbeat about
+   more groups consists of several messages. */
+#define PEERS_MAX_GROUPS 128
 #define PEERS_VERSION 5
 /* Numbers of fields: of a message, of a position, and of a group with and
    without record. */
@@ -91,10 +95,11 @@
   guint64 revision; /* of its registration in the store */
   guint64 incarnation;
   guint64 last_heartbeat_us;
-  guint64 echo_us;   /* send time of its last heartbeat, to be returned to it */
-  guint64 echoed_us; /* send time of this node's last one that it returned */
-  guint64 rtt_us;    /* of the last reply */
-  guint64 digest;    /* of its records; 0: unknown */
+  guint64 echo_us; /* send time of its last heartbeat, to be returned to it */
+  gboolean continued; /* its last message is a later one of a heartbeat */
+  guint64 echoed_us;  /* send time of this node's last one that it returned */
+  guint64 rtt_us;     /* of the last reply */
+  guint64 digest;     /* of its records; 0: unknown */
   guint64 panel_revision;
   guint64 store_revision;
   guint64 records_revision;
@@ -120,6 +125,7 @@
   TouProxy *proxy;
   uv_udp_t udp;
   GHashTable *nodes;       /* TouName to Peer */
+  guint first_part;        /* of the next heartbeat's messages to be sent */
   guint64 sent_all_us;     /* last heartbeats to all nodes or the panel */
   guint64 jitter_us;       /* added to the next interval */
   guint64 sent_leader_us;  /* last heartbeat to the leader */
@@ -370,26 +376,65 @@
          && !(primary != NULL && tou_endpoint_is_suspect (primary));
 }
 
-static void
-peers_pack_groups (msgpack_packer *packer, const TouPeers *peers,
-                   const Peer *peer, PeersContent content, guint64 now_us)
+/* Returns the groups that a heartbeat is about. A node that has not read the
+   store since it started does not have the records it acknowledged before, so
+   it sends none. */
+static GPtrArray *
+peers_select_groups (const TouPeers *peers, const Peer *peer,
+                     PeersContent content)
 {
   const TouProxy *proxy = peers->proxy;
   guint64 digest = tou_peers_digest (proxy);
   gboolean skip_records
       = content == PEERS_STATE || (digest != 0 && digest == peer->digest);
+  GPtrArray *groups = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
-  guint n_groups = 0;
 
-  g_hash_table_iter_init (&iter, proxy->groups);
-  while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
-    n_groups += !peers_can_skip_group (value, skip_records);
-  msgpack_pack_array (packer, n_groups);
   g_hash_table_iter_init (&iter, proxy->groups);
   while (proxy->synced && g_hash_table_iter_next (&iter, NULL, &value))
     if (!peers_can_skip_group (value, skip_records))
-      peers_pack_group (packer, peer, value, now_us);
+      g_ptr_array_add (groups, value);
+  return groups;
+}
+
+/* Returns the groups whose positions a heartbeat contains. */
+static GPtrArray *
+peers_select_positions (const TouPeers *peers, PeersContent content,
+                        guint64 now_us)
+{
+  GPtrArray *groups = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->proxy->groups);
+  while (content == PEERS_POSITIONS
+         && g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_us < tou_freshness_newest_us (((TouGroup *)value)->freshness)
+                     + PEERS_POSITION_MAX_AGE_US)
+      g_ptr_array_add (groups, value);
+  return groups;
+}
+
+/* Number of the groups that the message with index @a part contains. */
+static guint
+peers_part_size (const GPtrArray *groups, guint part)
+{
+  guint first = part * PEERS_MAX_GROUPS;
+
+  return MIN (groups->len - MIN (first, groups->len), PEERS_MAX_GROUPS);
+}
+
+static void
+peers_pack_groups (msgpack_packer *packer, const Peer *peer,
+                   const GPtrArray *groups, guint part, guint64 now_us)
+{
+  guint n = peers_part_size (groups, part);
+
+  msgpack_pack_array (packer, n);
+  for (guint i = 0; i < n; i++)
+    peers_pack_group (packer, peer, groups->pdata[part * PEERS_MAX_GROUPS + i],
+                      now_us);
 }
 
 /* TRUE if a majority of the panel has the records as of the panel's revision.
@@ -475,27 +520,18 @@
 /* Positions of the primaries with their ages, which a receiver can convert to
    its own clock. */
 static void
-peers_pack_positions (msgpack_packer *packer, const TouPeers *peers,
-                      guint64 now_us)
+peers_pack_positions (msgpack_packer *packer, const GPtrArray *groups,
+                      guint part, guint64 now_us)
 {
-  GHashTableIter iter;
-  gpointer value;
-  guint n = 0;
+  guint n = peers_part_size (groups, part);
 
-  g_hash_table_iter_init (&iter, peers->proxy->groups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    n += now_us < tou_freshness_newest_us (((TouGroup *)value)->freshness)
-                      + PEERS_POSITION_MAX_AGE_US;
   msgpack_pack_array (packer, n);
-  g_hash_table_iter_init (&iter, peers->proxy->groups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  for (guint i = 0; i < n; i++)
     {
-      const TouGroup *group = value;
+      const TouGroup *group = groups->pdata[part * PEERS_MAX_GROUPS + i];
       guint64 sent_us = tou_freshness_newest_us (group->freshness);
       TouLogPos pos = { 0 };
 
-      if (now_us >= sent_us + PEERS_POSITION_MAX_AGE_US)
-        continue;
       tou_freshness_required (group->freshness, sent_us, &pos);
       msgpack_pack_array (packer, PEERS_POSITION_FIELDS);
       tou_pack_name (packer, &group->name);
@@ -505,11 +541,18 @@
     }
 }
 
-/* A node that has not read the store since it started does not have the records
-   it acknowledged before, so it sends no groups. */
+/* What a heartbeat says about groups. */
+typedef struct
+{
+  PeersContent content;
+  GPtrArray *groups;    /* of TouGroup */
+  GPtrArray *positions; /* of TouGroup */
+} PeersHeartbeat;
+
 static void
 peers_pack (msgpack_packer *packer, TouPeers *peers, const Peer *peer,
-            guint64 flags, PeersContent content, guint64 now_us)
+            guint64 flags, const PeersHeartbeat *heartbeat, guint part,
+            guint64 now_us)
 {
   const TouProxy *proxy = peers->proxy;
 
@@ -534,11 +577,11 @@
   msgpack_pack_uint64 (packer, proxy->urgent_revision);
   peers_pack_panel (packer, peers, peer);
   /* What only the panel knows. */
-  msgpack_pack_array (packer, content == PEERS_POSITIONS ? 2 : 1);
+  msgpack_pack_array (packer, heartbeat->content == PEERS_POSITIONS ? 2 : 1);
   peers_pack_silent (packer, peers);
-  if (content == PEERS_POSITIONS)
-    peers_pack_positions (packer, peers, now_us);
-  peers_pack_groups (packer, peers, peer, content, now_us);
+  if (heartbeat->content == PEERS_POSITIONS)
+    peers_pack_positions (packer, heartbeat->positions, part, now_us);
+  peers_pack_groups (packer, peer, heartbeat->groups, part, now_us);
 }
 
 static void
@@ -553,18 +596,35 @@
   peers->proxy->counters[TOU_COUNT_PEER_BYTES] += size;
 }
 
+/* Sends a heartbeat. Its messages have the same send time, and the first one
+   that is sent requests the reply. The order changes, since the last ones may
+   be more than the receiver's socket holds. */
 static void
 peers_send (TouPeers *peers, const Peer *peer, guint64 flags,
             PeersContent content, guint64 now_us)
 {
-  msgpack_sbuffer buffer;
-  msgpack_packer packer;
+  PeersHeartbeat heartbeat
+      = { content, peers_select_groups (peers, peer, content),
+          peers_select_positions (peers, content, now_us) };
+  guint n_groups = MAX (heartbeat.groups->len, heartbeat.positions->len);
+  guint n_parts = MAX ((n_groups + PEERS_MAX_GROUPS - 1) / PEERS_MAX_GROUPS, 1);
 
-  msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  peers_pack (&packer, peers, peer, flags, content, now_us);
-  peers_send_bytes (peers, peer, buffer.data, buffer.size);
-  msgpack_sbuffer_destroy (&buffer);
+  peers->first_part++;
+  for (guint i = 0; i < n_parts; i++)
+    {
+      msgpack_sbuffer buffer;
+      msgpack_packer packer;
+
+      msgpack_sbuffer_init (&buffer);
+      msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+      peers_pack (&packer, peers, peer,
+                  i == 0 ? flags : flags & ~(guint64)PEERS_WANTS_REPLY,
+                  &heartbeat, (peers->first_part + i) % n_parts, now_us);
+      peers_send_bytes (peers, peer, buffer.data, buffer.size);
+      msgpack_sbuffer_destroy (&buffer);
+    }
+  g_ptr_array_unref (heartbeat.groups);
+  g_ptr_array_unref (heartbeat.positions);
 }
 
 void
@@ -682,7 +742,7 @@
 }
 
 /* Clears the suspicions and acknowledgements of a peer. A heartbeat repeats
-   those that still apply. */
+   those that still apply, in any of its messages. */
 static void
 peer_clear_reports (Peer *peer)
 {
@@ -871,6 +931,7 @@
   /* Datagrams may arrive out of order. */
   if (header->sent_us < peer->echo_us)
     return FALSE;
+  peer->continued = header->sent_us == peer->echo_us;
   peer->echo_us = header->sent_us;
   peer->digest = header->digest;
   peer->panel_revision = header->panel_revision;
@@ -928,7 +989,8 @@
   TouProxy *proxy = peers->proxy;
   gboolean accepts_proofs = peers_accepts_proofs (peers, peer, header->flags);
 
-  peer_clear_reports (peer);
+  if (!peer->continued)
+    peer_clear_reports (peer);
   for (guint i = 0; i < groups->via.array.size; i++)
     if (!peers_on_group (peers, peer, &groups->via.array.ptr[i], echo_us,
                          accepts_proofs))
--- a/tests/test-heartbeat.c
+++ b/tests/test-heartbeat.c
@@ -12,6 +12,10 @@
 /* Maximum bytes of a heartbeat without the record of its group: the sender's
    name, numbers of up to 9 bytes, and the group's name, revision and flags. */
 #define BRIEF_BYTES 70
+/* Their records do not fit into a datagram of 65,507 bytes. */
+#define MANY_GROUPS 2000
+#define LONG_NAME_LEN 100
+#define MANY_WAIT_US (20 * TOU_US_PER_S)
 
 /* All nodes are in the panel and have read it from the store. */
 static void
@@ -123,6 +127,44 @@
   uv_loop_close (&loop);
 }
 
+/* Waits until a node has the records of the first one. */
+static void
+fleet_wait_digest (HbFleet *fleet, guint node)
+{
+  guint64 end_us = tou_clock_us () + MANY_WAIT_US;
+  guint64 digest = tou_peers_digest (fleet->proxies[0]);
+
+  while (tou_peers_digest (fleet->proxies[node]) != digest
+         && tou_clock_us () < end_us)
+    hbfleet_run (fleet, TOU_US_PER_S / 10);
+  assert_true (tou_peers_digest (fleet->proxies[node]) == digest);
+}
+
+/* Guards against heartbeats that do not fit into a datagram, because of many
+ * records with long names: a node that needs them would hear nothing at all. */
+static void
+test_many_records_are_replicated (void **state)
+{
+  HbFleet fleet;
+
+  (void)state;
+  fleet_start (&fleet);
+  for (guint i = 0; i < MANY_GROUPS; i++)
+    {
+      char *name = g_strdup_printf ("%0*u", LONG_NAME_LEN, i);
+
+      hbfleet_proxy_adopt (fleet.proxies[0], name, 100 + i);
+      g_free (name);
+    }
+  fleet_wait_digest (&fleet, 1);
+  /* A node that joins later has no record. */
+  hbfleet_add (&fleet);
+  fleet_adopt_panel (&fleet, 4);
+  fleet_wait_digest (&fleet, 2);
+  assert_true (hbfleet_wait_valid (&fleet, 5));
+  hbfleet_clear (&fleet);
+}
+
 int
 main (void)
 {
@@ -130,7 +172,8 @@
       = { cmocka_unit_test (test_record_is_replicated),
           cmocka_unit_test (test_restart_with_earlier_clock),
           cmocka_unit_test (test_digest_differs_between_records),
-          cmocka_unit_test (test_record_is_sent_once) };
+          cmocka_unit_test (test_record_is_sent_once),
+          cmocka_unit_test (test_many_records_are_replicated) };
 
   return cmocka_run_group_tests_name ("heartbeat", tests, NULL, NULL);
 }
