--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -130,6 +130,8 @@
   plat_wire_decode_client_message (&message, slice (command->rest));
   g_string_append (script->out, kinds[message.kind]);
   put_slice (script, "database", message.database);
+  if (message.endpoint.len > 0)
+    put_slice (script, "endpoint", message.endpoint);
   put_slice (script, "id", message.id);
   put_slice (script, "text", message.text);
   g_string_append_c (script->out, '\n');
--- a/tests/test-entries.c
+++ b/tests/test-entries.c
@@ -11,6 +11,9 @@
 
 /* Deeper than the JSON parser descends. */
 #define DEPTH 100000
+#define DATABASE                                                               \
+  "{\"service\":\"g\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","             \
+  "\"capacity\":3,\"state\":\"ready\",\"dbRole\":\"primary\"}"
 
 static void
 test_entries_of_another_writer (void **state)
@@ -40,6 +43,9 @@
       kv_put (fleet.kv, key, values[i]);
       g_free (key);
     }
+  /* Ids that would end a line of the databases' protocol, or name nothing. */
+  kv_put (fleet.kv, "servers/i\r\nQUERY - STATUS", DATABASE);
+  kv_put (fleet.kv, "servers/", DATABASE);
   fleet_configure (&fleet, 2);
   assert_true (fleet_wait (&fleet, fleet_has_version, 2));
   /* A process that starts now reads them in a list. */
