Release the full names in the fuzz target and the scripts

Both kept what the decoders of registrations and configurations return. The fuzz target asks for the problems of a configuration as well, so that it covers their reports.

--- a/fuzz/fuzz-wire.c
+++ b/fuzz/fuzz-wire.c
@@ -49,6 +49,7 @@
 {
   char *text = g_strndup ((const char *)data, size);
   TouStr value = { text, size };
+  GPtrArray *problems = g_ptr_array_new_with_free_func (plat_problem_free);
   TouEndpointInfo info;
   TouRouting *routing;
   TouSlice line;
@@ -62,8 +63,10 @@
       decode_line (line);
     }
   plat_document_decode_endpoint (&info, "i-1", &value);
-  if (plat_document_decode_routing (&routing, NULL, &value) == TOU_OK)
+  tou_endpoint_info_clear (&info);
+  if (plat_document_decode_routing (&routing, problems, &value) == TOU_OK)
     tou_routing_destroy (routing);
+  g_ptr_array_unref (problems);
   plat_settings_parse (&settings, text);
   g_free (text);
   return 0;
--- a/tests/support/session-script.c
+++ b/tests/support/session-script.c
@@ -306,6 +306,7 @@
         info.group.data, info.id.data, info.address.data, info.slots,
         info.role == TOU_ROLE_PRIMARY ? "primary" : "replica",
         info.draining ? ", draining" : "", info.started_ms);
+  tou_endpoint_info_clear (&info);
 }
 
 static void
