--- a/tests/support/line-database.c
+++ b/tests/support/line-database.c
@@ -444,7 +444,6 @@
 line_database_rename (LineDatabase *database, const char *id)
 {
   g_free (database->id);
-  g_free (database->group);
   database->id = g_strdup (id);
   line_database_restart (database);
 }
@@ -519,5 +518,6 @@
   g_free (database->row_pad);
   g_free (database->next_error);
   g_free (database->id);
+  g_free (database->group);
   g_free (database);
 }
